--- a/bench/bench-platform_calls.cpp
+++ b/bench/bench-platform_calls.cpp
@@ -1,6 +1,6 @@
 #include "control/ownership.hpp"
 #include "control/report_codec.hpp"
-#include "platform/keys.hpp"
+#include "kv/keys.hpp"
 #include "report.hpp"
 
 #include <algorithm>
@@ -53,7 +53,7 @@
         owner.set_incarnation(1'764'000'000'000ULL << 16U);
         owner.set_peer_address("10.9.100.100:7400");
         auto* entry = reply.add_entries();
-        entry->set_key(platform::key_of(platform::delegate_prefix, i));
+        entry->set_key(kv::key_of(kv::delegate_prefix, i));
         entry->set_value(owner.SerializeAsString());
         entry->set_revision(1'000'000);
         entry->set_lease(1'000'000);
--- a/include/zinniahub/time.hpp
+++ b/include/zinniahub/time.hpp
@@ -1,12 +1,32 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace zinniahub
 {
 
-/// @brief Monotonic clock of all decisions. Wall clocks are never compared.
-using clock = std::chrono::steady_clock;
+/// @brief Clock of all decisions. It never jumps and, unlike
+/// `std::chrono::steady_clock`, also counts the time for which the machine was
+/// suspended: leases, views and windows age meanwhile. Wall clocks are never
+/// compared.
+struct clock
+{
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept
+    {
+        std::timespec value{};
+        clock_gettime(CLOCK_BOOTTIME, &value);
+        return time_point(
+            std::chrono::seconds(value.tv_sec) +
+            std::chrono::nanoseconds(value.tv_nsec));
+    }
+};
 
 using time_point = clock::time_point;
 
--- a/src/control/configuration_sync.cpp
+++ b/src/control/configuration_sync.cpp
@@ -2,7 +2,7 @@
 
 #include "control/resource_codec.hpp"
 #include "observability/log.hpp"
-#include "platform/keys.hpp"
+#include "kv/keys.hpp"
 
 #include <utility>
 
@@ -18,13 +18,13 @@
 /// Key of a resource without the prefix, as the store uses it.
 std::string short_key(const std::string& key)
 {
-    return key.substr(platform::configuration_prefix.size());
+    return key.substr(kv::configuration_prefix.size());
 }
 
 } // namespace
 
 configuration_sync::configuration_sync(
-    boost::asio::io_context& io, platform::async_platform_client& platform,
+    boost::asio::io_context& io, kv::async_platform_client& platform,
     duration call_timeout, metrics::registry& metrics, change_handler on_change)
     : timer_(io)
     , platform_(platform)
@@ -78,7 +78,7 @@
 void configuration_sync::load()
 {
     v1::RangeRequest request;
-    request.set_prefix(std::string(platform::configuration_prefix));
+    request.set_prefix(std::string(kv::configuration_prefix));
     platform_.range(
         request, call_timeout_,
         [this, sent_at = clock::now()](const result<v1::RangeReply>& reply)
@@ -105,7 +105,7 @@
 void configuration_sync::watch()
 {
     v1::WatchRequest request;
-    request.set_prefix(std::string(platform::configuration_prefix));
+    request.set_prefix(std::string(kv::configuration_prefix));
     request.set_after_revision(store_.revision());
     request.set_wait_ms(watch_wait_ms);
     platform_.watch(
@@ -178,7 +178,7 @@
     {
         auto* entry = reply.add_records();
         entry->set_key(
-            platform::key_of(platform::configuration_prefix, record.key));
+            kv::key_of(kv::configuration_prefix, record.key));
         entry->set_revision(record.revision);
         entry->set_deleted(!record.value.has_value());
         const auto value = values_.find(entry->key());
--- a/src/control/configuration_sync.hpp
+++ b/src/control/configuration_sync.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "observability/metrics.hpp"
-#include "platform/platform_client.hpp"
+#include "kv/platform_client.hpp"
 #include "zinniahub/v1/peer.pb.h"
 
 #include <zinniahub/configuration.hpp>
@@ -28,7 +28,7 @@
     using change_handler = std::function<void(desired_state_ptr)>;
 
     configuration_sync(
-        boost::asio::io_context& io, platform::async_platform_client& platform,
+        boost::asio::io_context& io, kv::async_platform_client& platform,
         duration call_timeout, metrics::registry& metrics,
         change_handler on_change);
 
@@ -83,7 +83,7 @@
     void publish(bool changed);
 
     boost::asio::steady_timer timer_;
-    platform::async_platform_client& platform_;
+    kv::async_platform_client& platform_;
     std::chrono::milliseconds call_timeout_;
     metrics::counter& invalid_records_;
     change_handler on_change_;
--- a/src/control/fleet_sync.cpp
+++ b/src/control/fleet_sync.cpp
@@ -1,7 +1,7 @@
 #include "control/fleet_sync.hpp"
 
 #include "control/report_codec.hpp"
-#include "platform/keys.hpp"
+#include "kv/keys.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -32,7 +32,7 @@
 } // namespace
 
 fleet_sync::fleet_sync(
-    platform::async_platform_client& platform, peer_directory& peers,
+    kv::async_platform_client& platform, peer_directory& peers,
     configuration_sync& configuration, ownership& owners, settings values,
     report_source own_report)
     : platform_(platform)
@@ -233,8 +233,8 @@
 
 void fleet_sync::put_domain_report(std::string value, std::uint64_t revision)
 {
-    const auto key = platform::key_of(
-        platform::observed_prefix, settings_.self.failure_domain);
+    const auto key = kv::key_of(
+        kv::observed_prefix, settings_.self.failure_domain);
     v1::PutRequest request;
     request.set_key(key);
     request.set_value(std::move(value));
--- a/src/control/fleet_sync.hpp
+++ b/src/control/fleet_sync.hpp
@@ -3,7 +3,7 @@
 #include "control/configuration_sync.hpp"
 #include "control/ownership.hpp"
 #include "control/peer_client.hpp"
-#include "platform/platform_client.hpp"
+#include "kv/platform_client.hpp"
 
 #include <zinniahub/membership.hpp>
 #include <zinniahub/observed_state.hpp>
@@ -38,7 +38,7 @@
     using report_source = std::function<host_report()>;
 
     fleet_sync(
-        platform::async_platform_client& platform, peer_directory& peers,
+        kv::async_platform_client& platform, peer_directory& peers,
         configuration_sync& configuration, ownership& owners, settings values,
         report_source own_report);
 
@@ -68,7 +68,7 @@
     void write_domain_report(time_point now);
     void put_domain_report(std::string value, std::uint64_t revision);
 
-    platform::async_platform_client& platform_;
+    kv::async_platform_client& platform_;
     peer_directory& peers_;
     configuration_sync& configuration_;
     ownership& owners_;
--- a/src/control/owner_planner.cpp
+++ b/src/control/owner_planner.cpp
@@ -1,6 +1,6 @@
 #include "control/owner_planner.hpp"
 
-#include "platform/keys.hpp"
+#include "kv/keys.hpp"
 
 #include <algorithm>
 
@@ -17,7 +17,7 @@
 
 bool is_seat(std::string_view key)
 {
-    return key.starts_with(platform::seat_prefix);
+    return key.starts_with(kv::seat_prefix);
 }
 
 } // namespace
@@ -35,13 +35,13 @@
 
 std::string owner_planner::shard_key(std::uint32_t shard) const
 {
-    return platform::key_of(platform::rate_prefix, shard);
+    return kv::key_of(kv::rate_prefix, shard);
 }
 
 std::string owner_planner::delegate_key() const
 {
-    return platform::key_of(
-        platform::delegate_prefix, settings_.self.failure_domain);
+    return kv::key_of(
+        kv::delegate_prefix, settings_.self.failure_domain);
 }
 
 bool owner_planner::is_mine(const owner_record& candidate) const
@@ -472,7 +472,7 @@
     for (std::uint32_t i = 0; i < settings_.seats; ++i)
     {
         const auto seat = (first + i) % settings_.seats;
-        const auto* found = find(platform::key_of(platform::seat_prefix, seat));
+        const auto* found = find(kv::key_of(kv::seat_prefix, seat));
         if (found != nullptr && is_mine(*found) && found->lease == seat_lease_)
         {
             // The answer to the claim was lost.
@@ -490,7 +490,7 @@
         claimed_seat_ = *vacant;
         actions.emplace_back(claim_key{
             lease_use::seat,
-            platform::key_of(platform::seat_prefix, *vacant),
+            kv::key_of(kv::seat_prefix, *vacant),
             seat_lease_,
             {settings_.self.name, settings_.self.incarnation, {}}});
     }
--- a/src/control/ownership.cpp
+++ b/src/control/ownership.cpp
@@ -1,7 +1,7 @@
 #include "control/ownership.hpp"
 
 #include "observability/log.hpp"
-#include "platform/keys.hpp"
+#include "kv/keys.hpp"
 
 #include <utility>
 #include <variant>
@@ -15,8 +15,8 @@
 /// Seats count how many hosts share a rate and come from the platform only.
 bool is_relayed(std::string_view key)
 {
-    return key.starts_with(platform::rate_prefix) ||
-           key.starts_with(platform::delegate_prefix);
+    return key.starts_with(kv::rate_prefix) ||
+           key.starts_with(kv::delegate_prefix);
 }
 
 key_owner from_protocol(const v1::Ownership& owner)
@@ -57,7 +57,7 @@
 
 } // namespace
 
-ownership::ownership(platform::async_platform_client& platform, settings values)
+ownership::ownership(kv::async_platform_client& platform, settings values)
     : platform_(platform)
     , call_timeout_(values.call_timeout)
     , planner_(std::move(values.planner))
@@ -87,7 +87,7 @@
 void ownership::start(const read_owners&)
 {
     v1::RangeRequest request;
-    request.set_prefix(std::string(platform::owner_prefix));
+    request.set_prefix(std::string(kv::owner_prefix));
     platform_.range(
         request, call_timeout_,
         [this](const result<v1::RangeReply>& reply)
@@ -198,7 +198,7 @@
 std::string ownership::delegate_of(std::string_view failure_domain) const
 {
     const auto* found = planner_.find(
-        platform::key_of(platform::delegate_prefix, failure_domain));
+        kv::key_of(kv::delegate_prefix, failure_domain));
     return found == nullptr ? std::string() : found->owner.host;
 }
 
--- a/src/control/ownership.hpp
+++ b/src/control/ownership.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control/owner_planner.hpp"
-#include "platform/platform_client.hpp"
+#include "kv/platform_client.hpp"
 #include "zinniahub/v1/configuration.pb.h"
 #include "zinniahub/v1/peer.pb.h"
 
@@ -32,7 +32,7 @@
         std::chrono::milliseconds call_timeout{500};
     };
 
-    ownership(platform::async_platform_client& platform, settings values);
+    ownership(kv::async_platform_client& platform, settings values);
 
     /// @brief Starts due calls. Call it every 50 ms or so.
     /// @param live hosts that compete for shards and the delegate's role
@@ -80,7 +80,7 @@
     void start(const claim_key& action);
     void start(const remove_key& action);
 
-    platform::async_platform_client& platform_;
+    kv::async_platform_client& platform_;
     std::chrono::milliseconds call_timeout_;
     owner_planner planner_;
 };
--- /dev/null
+++ b/src/coordination/host_registry.cpp
@@ -0,0 +1,145 @@
+#include "coordination/host_registry.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace zinniahub::coordination
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::string_view host_prefix = "zinniahub/host/";
+
+} // namespace
+
+host_registry::host_registry(
+    asio::io_context& io, store& target, settings values,
+    std::function<void()> on_changed, log::event_log& events)
+    : io_(io)
+    , store_(target)
+    , settings_(std::move(values))
+    , on_changed_(std::move(on_changed))
+    , events_(events)
+{
+}
+
+std::string host_registry::key_of(std::string_view host)
+{
+    return std::string(host_prefix) + std::string(host);
+}
+
+void host_registry::start()
+{
+    asio::co_spawn(io_, keep(), asio::detached);
+}
+
+void host_registry::on_item(const stored_item& item)
+{
+    if (!item.key.starts_with(host_prefix))
+    {
+        return;
+    }
+    const auto host = item.key.substr(host_prefix.size());
+    if (item.removed)
+    {
+        keys_.erase(host);
+    }
+    else
+    {
+        keys_[host] = item.revision;
+    }
+    if (host == settings_.host)
+    {
+        on_changed_();
+    }
+}
+
+std::set<std::string> host_registry::hosts() const
+{
+    std::set<std::string> names;
+    for (const auto& [host, revision] : keys_)
+    {
+        names.insert(host);
+    }
+    return names;
+}
+
+std::uint64_t host_registry::revision_of(std::string_view host) const
+{
+    const auto found = keys_.find(host);
+    return found == keys_.end() ? 0 : found->second;
+}
+
+awaitable<void> host_registry::keep()
+{
+    asio::steady_timer timer(io_);
+    while (!leaving_)
+    {
+        const bool ok = lease_id_ == 0 ? co_await acquire() : co_await renew();
+        timer.expires_after(
+            ok ? settings_.renew_interval : settings_.retry_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+awaitable<bool> host_registry::acquire()
+{
+    const auto sent_at = lease_clock::on_request_sent(clock::now());
+    const auto lease = co_await store_.grant(settings_.ttl);
+    if (!lease)
+    {
+        co_return false;
+    }
+    store_transaction change;
+    change.writes.push_back({key_of(settings_.host), "{}", lease->id});
+    const auto written = co_await store_.commit(change);
+    if (!written)
+    {
+        co_return false;
+    }
+    lease_id_ = lease->id;
+    registered_at_ = *written;
+    lease_.on_granted(sent_at, lease->ttl);
+    events_.write(
+        "host_registered", {{"lease", lease_id_}, {"revision", *written}});
+    on_changed_();
+    co_return true;
+}
+
+awaitable<bool> host_registry::renew()
+{
+    const auto sent_at = lease_clock::on_request_sent(clock::now());
+    const auto ttl = co_await store_.renew(lease_id_);
+    if (ttl)
+    {
+        lease_.on_granted(sent_at, *ttl);
+        on_changed_();
+        co_return true;
+    }
+    if (ttl.error().code == errc::lease_expired)
+    {
+        events_.write("host_registration_lost", {{"lease", lease_id_}});
+        lease_.on_lost(clock::now());
+        lease_id_ = 0;
+        on_changed_();
+    }
+    co_return false;
+}
+
+awaitable<void> host_registry::leave()
+{
+    leaving_ = true;
+    if (lease_id_ != 0)
+    {
+        const auto lease = std::exchange(lease_id_, 0);
+        lease_.on_lost(clock::now());
+        co_await store_.end(lease);
+    }
+}
+
+} // namespace zinniahub::coordination
--- /dev/null
+++ b/src/coordination/host_registry.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "coordination/store.hpp"
+#include "observability/event_log.hpp"
+
+#include <zinniahub/lease.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace zinniahub::coordination
+{
+
+/// Prefix of everything that the hosts keep in the store.
+inline constexpr std::string_view state_prefix = "zinniahub/";
+
+/// @brief Registers this host under a lease and knows the other hosts.
+///
+/// The registration is the basis of the host's shares of the rates: when it
+/// ends, they are free for other hosts.
+class host_registry
+{
+public:
+    struct settings
+    {
+        std::string host;
+        /// Long enough to outlast an outage of the store.
+        duration ttl = std::chrono::seconds(30);
+        duration renew_interval = std::chrono::seconds(5);
+        duration retry_interval = std::chrono::milliseconds(250);
+    };
+
+    host_registry(
+        boost::asio::io_context& io, store& target, settings values,
+        std::function<void()> on_changed, log::event_log& events);
+
+    void start();
+
+    /// @brief Applies an item below `state_prefix`.
+    void on_item(const stored_item& item);
+    /// @brief A new listing starts: known registrations are replaced.
+    void clear()
+    {
+        keys_.clear();
+    }
+
+    /// @brief Registered hosts.
+    std::set<std::string> hosts() const;
+    /// @brief Key of a host's registration with its revision, 0 if none.
+    std::uint64_t revision_of(std::string_view host) const;
+
+    /// @brief End of the registration as this host may assume it; min() until
+    /// the host has seen its own registration in the store, and with it every
+    /// change made before.
+    time_point valid_until() const
+    {
+        return revision_of(settings_.host) >= registered_at_ && lease_id_ != 0
+                   ? lease_.valid_until()
+                   : time_point::min();
+    }
+    std::uint64_t lease_id() const
+    {
+        return lease_id_;
+    }
+
+    /// @brief Ends the registration; the host is stopping.
+    awaitable<void> leave();
+
+    static std::string key_of(std::string_view host);
+
+private:
+    awaitable<void> keep();
+    awaitable<bool> acquire();
+    awaitable<bool> renew();
+
+    boost::asio::io_context& io_;
+    store& store_;
+    settings settings_;
+    std::function<void()> on_changed_;
+    log::event_log& events_;
+    lease_clock lease_;
+    std::uint64_t lease_id_ = 0;
+    /// Revision of the registration.
+    std::uint64_t registered_at_ = 0;
+    bool leaving_ = false;
+    std::map<std::string, std::uint64_t, std::less<>> keys_;
+};
+
+} // namespace zinniahub::coordination
--- /dev/null
+++ b/src/coordination/promotion_duty.cpp
@@ -0,0 +1,408 @@
+#include "coordination/promotion_duty.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace zinniahub::coordination
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::string_view duty_key = "zinniahub/duty/promotion";
+constexpr duration tick_interval = std::chrono::milliseconds(50);
+
+/// A status takes a slot for less than a millisecond.
+constexpr duration status_timeout = std::chrono::milliseconds(350);
+constexpr duration connect_timeout = std::chrono::milliseconds(350);
+
+/// Name under which status connections are opened.
+constexpr std::string_view control_customer = "zinniahub";
+
+} // namespace
+
+/// Connection for status queries and holds; at most one call at a time.
+class promotion_duty::member_control
+{
+public:
+    std::unique_ptr<pooling::member_connection> link;
+    bool busy = false;
+    /// A command that has to follow the one in progress.
+    std::optional<pooling::command> waiting;
+};
+
+promotion_duty::promotion_duty(
+    asio::io_context& io, store& target, promotion_port& platform,
+    pooling::member_connector& connector, const upstream_directory& directory,
+    settings values, log::event_log& events)
+    : io_(io)
+    , store_(target)
+    , platform_(platform)
+    , connector_(connector)
+    , directory_(directory)
+    , settings_(std::move(values))
+    , events_(events)
+{
+}
+
+promotion_duty::~promotion_duty() = default;
+
+void promotion_duty::start()
+{
+    asio::co_spawn(io_, keep(), asio::detached);
+    asio::co_spawn(io_, plan(), asio::detached);
+}
+
+void promotion_duty::on_item(const stored_item& item)
+{
+    if (item.key != duty_key || item.revision < revision_)
+    {
+        return;
+    }
+    revision_ = item.removed ? 0 : item.revision;
+    holder_ = item.removed ? std::string{} : item.value;
+    free_since_ = item.removed ? clock::now() : never;
+    if (lease_id_ != 0 && holder_ != settings_.host)
+    {
+        lose("another_holder");
+    }
+}
+
+awaitable<void> promotion_duty::keep()
+{
+    asio::steady_timer timer(io_);
+    auto next_renewal = time_point::min();
+    while (!leaving_)
+    {
+        timer.expires_after(2 * tick_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+        const auto now = clock::now();
+        if (lease_id_ != 0 && !lease_.is_valid(now))
+        {
+            lose("lease_ended");
+        }
+        if (configuration_ == nullptr || leaving_)
+        {
+            continue;
+        }
+        if (lease_id_ != 0)
+        {
+            if (now >= next_renewal)
+            {
+                next_renewal = now + settings_.renew_interval;
+                co_await renew();
+            }
+            continue;
+        }
+        // An earlier process of this host has ended, so its duty is free.
+        const bool own = holder_ == settings_.host;
+        const bool vacant = holder_.empty() &&
+                            (free_since_ == never ||
+                             now - free_since_ >= settings_.claim_delay);
+        if (own || vacant)
+        {
+            co_await claim();
+            next_renewal = clock::now() + settings_.renew_interval;
+        }
+    }
+}
+
+awaitable<void> promotion_duty::claim()
+{
+    const auto sent_at = lease_clock::on_request_sent(clock::now());
+    const auto lease = co_await store_.grant(settings_.ttl);
+    if (!lease)
+    {
+        co_return;
+    }
+    store_transaction change;
+    change.expect.push_back({std::string(duty_key), revision_});
+    change.writes.push_back({std::string(duty_key), settings_.host, lease->id});
+    const auto written = co_await store_.commit(change);
+    if (!written)
+    {
+        co_await store_.end(lease->id);
+        co_return;
+    }
+    lease_id_ = lease->id;
+    lease_.on_granted(sent_at, lease->ttl);
+    revision_ = *written;
+    holder_ = settings_.host;
+    services_.clear();
+    events_.write(
+        "duty_taken", {{"lease", lease_id_}, {"revision", revision_}});
+}
+
+awaitable<void> promotion_duty::renew()
+{
+    const auto sent_at = lease_clock::on_request_sent(clock::now());
+    const auto lease = lease_id_;
+    const auto ttl = co_await store_.renew(lease);
+    if (lease != lease_id_)
+    {
+        co_return;
+    }
+    if (ttl)
+    {
+        lease_.on_granted(sent_at, *ttl);
+    }
+    else if (ttl.error().code == errc::lease_expired)
+    {
+        lose("lease_unknown");
+    }
+}
+
+void promotion_duty::lose(std::string_view why)
+{
+    events_.write("duty_lost", {{"why", why}, {"revision", revision_}});
+    lease_.on_lost(clock::now());
+    lease_id_ = 0;
+    services_.clear();
+}
+
+awaitable<void> promotion_duty::leave()
+{
+    leaving_ = true;
+    if (lease_id_ != 0)
+    {
+        const auto lease = lease_id_;
+        lose("stopping");
+        co_await store_.end(lease);
+    }
+}
+
+awaitable<void> promotion_duty::plan()
+{
+    asio::steady_timer timer(io_);
+    while (true)
+    {
+        timer.expires_after(tick_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+        const auto now = clock::now();
+        if (!is_holder(now) || configuration_ == nullptr)
+        {
+            continue;
+        }
+        for (const auto& [name, definition] : configuration_->services)
+        {
+            plan_service(definition, services_[name], now);
+        }
+    }
+}
+
+void promotion_duty::plan_service(
+    const service_definition& definition, service_state& service,
+    time_point now)
+{
+    std::vector<replication_member> members;
+    for (const auto& [instance, member] : directory_.members())
+    {
+        if (member.record.service == definition.name)
+        {
+            members.push_back(
+                {instance, member.leaving, member.missing_since != never});
+        }
+    }
+    service.planner.on_members(members, definition.sync_replicas);
+    for (const auto& step : service.planner.on_tick(now))
+    {
+        carry_out(definition.name, service, step);
+    }
+    const auto state = service.planner.state();
+    if (state != service.last_state)
+    {
+        events_.write(
+            "failover_state", {{"service", definition.name},
+                               {"from", service.last_state},
+                               {"to", state},
+                               {"reason", service.planner.reason()}});
+        service.last_state = state;
+    }
+}
+
+promotion_duty::member_control& promotion_duty::control_of(
+    const std::string& name, service_state& service,
+    const std::string& instance)
+{
+    auto& control = service.members[instance];
+    if (control == nullptr)
+    {
+        control = std::make_unique<member_control>();
+    }
+    return *control;
+}
+
+void promotion_duty::carry_out(
+    const std::string& name, service_state& service, const failover_step& step)
+{
+    if (const auto* value = std::get_if<failover_action::order>(&step))
+    {
+        asio::co_spawn(io_, order(name, *value), asio::detached);
+        return;
+    }
+    pooling::command command{.kind = pooling::command_kind::status};
+    std::string instance;
+    if (const auto* query = std::get_if<failover_action::query>(&step))
+    {
+        instance = query->instance;
+    }
+    else if (const auto* hold = std::get_if<failover_action::hold>(&step))
+    {
+        instance = hold->instance;
+        command = {.kind = pooling::command_kind::pause, .term = hold->term};
+    }
+    else if (const auto* release = std::get_if<failover_action::release>(&step))
+    {
+        instance = release->instance;
+        command = {.kind = pooling::command_kind::resume};
+    }
+    auto& control = control_of(name, service, instance);
+    if (control.busy)
+    {
+        if (command.kind != pooling::command_kind::status)
+        {
+            control.waiting = command;
+        }
+        return;
+    }
+    asio::co_spawn(
+        io_, ask_member(name, instance, command), asio::detached);
+}
+
+awaitable<void> promotion_duty::ask_member(
+    std::string service, std::string instance, pooling::command value)
+{
+    const auto found = directory_.members().find(instance);
+    if (found == directory_.members().end())
+    {
+        co_return;
+    }
+    const pooling::member_address target{
+        service, found->second.record.address, instance,
+        std::string(control_customer)};
+    const auto epoch = lease_.epoch();
+    auto* control = &control_of(service, services_[service], instance);
+    control->busy = true;
+    // The connection belongs to this call until it ends: the duty may be lost
+    // meanwhile.
+    auto link = std::move(control->link);
+    bool refused = false;
+    if (link == nullptr || !link->is_open())
+    {
+        auto opened = co_await connector_.connect(target, connect_timeout);
+        if (opened)
+        {
+            link = std::move(*opened);
+        }
+        else
+        {
+            refused = opened.error().why ==
+                      pooling::connect_failure::reason::refused;
+            link.reset();
+        }
+    }
+    const auto sent_at = clock::now();
+    result<pooling::reply> answer = fail(errc::member_unreachable);
+    if (link != nullptr)
+    {
+        answer = co_await link->run(value, status_timeout);
+    }
+    const auto now = clock::now();
+    if (epoch != lease_.epoch() || !services_.contains(service))
+    {
+        co_return;
+    }
+    auto& state = services_[service];
+    control = &control_of(service, state, instance);
+    control->busy = false;
+    control->link = std::move(link);
+    if (answer && answer->ok() && answer->status_row)
+    {
+        state.planner.on_status(
+            instance, *answer->status_row, sent_at, now);
+    }
+    else if (!answer)
+    {
+        state.planner.on_no_status(instance, refused, now);
+    }
+    if (control->waiting && is_holder(now))
+    {
+        const auto next = *control->waiting;
+        control->waiting.reset();
+        asio::co_spawn(
+            io_, ask_member(service, instance, next), asio::detached);
+    }
+}
+
+awaitable<result<std::uint64_t>> promotion_duty::token_for(
+    service_state& service, const std::string& instance)
+{
+    const bool unused = service.token != revision_;
+    const bool repeated = service.token != 0 && service.ordered == instance;
+    if (unused || repeated)
+    {
+        // No order of this service was sent under the token, or the same one.
+        service.token = unused ? revision_ : service.token;
+        service.ordered = instance;
+        co_return service.token;
+    }
+    store_transaction change;
+    change.expect.push_back({std::string(duty_key), revision_});
+    change.writes.push_back(
+        {std::string(duty_key), settings_.host, lease_id_});
+    const auto epoch = lease_.epoch();
+    const auto written = co_await store_.commit(change);
+    if (written && epoch == lease_.epoch() && lease_id_ != 0)
+    {
+        revision_ = std::max(revision_, *written);
+        service.token = *written;
+        service.ordered = instance;
+    }
+    co_return written;
+}
+
+awaitable<void>
+promotion_duty::order(std::string service, failover_action::order value)
+{
+    const auto epoch = lease_.epoch();
+    auto outcome = order_result::unknown;
+    const auto token =
+        co_await token_for(services_[service], value.instance);
+    if (epoch != lease_.epoch() || !is_holder(clock::now()))
+    {
+        co_return;
+    }
+    errc code = token ? errc{} : token.error().code;
+    if (token)
+    {
+        ++orders_;
+        const auto answer = co_await platform_.promote(
+            service, value.instance, settings_.host, *token);
+        code = answer ? errc{} : answer.error().code;
+        outcome = answer ? order_result::accepted
+                         : (code == errc::conflict ? order_result::refused
+                                                   : order_result::unknown);
+    }
+    else
+    {
+        outcome = order_result::refused;
+    }
+    events_.write(
+        "promotion_ordered", {{"service", service},
+                              {"instance", value.instance},
+                              {"confirms", value.confirms_primary},
+                              {"token", token ? *token : 0},
+                              {"outcome", static_cast<int>(outcome)},
+                              {"error", code == errc{} ? "" : to_string(code)}});
+    const auto found = services_.find(service);
+    if (found != services_.end() && epoch == lease_.epoch())
+    {
+        found->second.planner.on_order_result(outcome, clock::now());
+    }
+}
+
+} // namespace zinniahub::coordination
--- /dev/null
+++ b/src/coordination/promotion_duty.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "coordination/store.hpp"
+#include "observability/event_log.hpp"
+#include "pooling/ports.hpp"
+
+#include <zinniahub/failover_planner.hpp>
+#include <zinniahub/lease.hpp>
+#include <zinniahub/proxy_configuration.hpp>
+#include <zinniahub/upstream_directory.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace zinniahub::coordination
+{
+
+/// @brief The duty of ordering promotions, held by one host at a time.
+///
+/// The holder keeps a key under a lease and stops as soon as the lease may
+/// have ended. The fencing token is the revision of a write to that key. An
+/// order that names another member than the one before gets a higher token, so
+/// that the platform refuses the earlier order if it is carried out late.
+class promotion_duty
+{
+public:
+    struct settings
+    {
+        std::string host;
+        duration ttl = std::chrono::seconds(6);
+        duration renew_interval = std::chrono::milliseconds(1500);
+        /// Time in which the holder's own restart may claim the duty first.
+        duration claim_delay = std::chrono::milliseconds(200);
+    };
+
+    promotion_duty(
+        boost::asio::io_context& io, store& target, promotion_port& platform,
+        pooling::member_connector& connector,
+        const upstream_directory& directory, settings values,
+        log::event_log& events);
+    ~promotion_duty();
+
+    void start();
+    void on_configuration(configuration_ptr configuration)
+    {
+        configuration_ = std::move(configuration);
+    }
+    /// @brief Applies an item below `state_prefix`.
+    void on_item(const stored_item& item);
+    /// @brief A new listing starts.
+    void clear()
+    {
+        holder_.clear();
+        revision_ = 0;
+    }
+
+    bool is_holder(time_point now) const
+    {
+        return lease_id_ != 0 && lease_.is_valid(now);
+    }
+    std::uint64_t orders() const
+    {
+        return orders_;
+    }
+
+    /// @brief Gives the duty up; the host is stopping.
+    awaitable<void> leave();
+
+private:
+    class member_control;
+    struct service_state
+    {
+        failover_planner planner{failover_planner::settings{}};
+        std::map<std::string, std::unique_ptr<member_control>, std::less<>>
+            members;
+        std::string last_state = "steady";
+        /// Token and member of the last order.
+        std::uint64_t token = 0;
+        std::string ordered;
+    };
+
+    awaitable<void> keep();
+    awaitable<void> claim();
+    awaitable<void> renew();
+    void lose(std::string_view why);
+    awaitable<void> plan();
+    void plan_service(
+        const service_definition& definition, service_state& service,
+        time_point now);
+    void carry_out(
+        const std::string& name, service_state& service,
+        const failover_step& step);
+    member_control& control_of(
+        const std::string& name, service_state& service,
+        const std::string& instance);
+    awaitable<void> ask_member(
+        std::string service, std::string instance, pooling::command value);
+    awaitable<void>
+    order(std::string service, failover_action::order value);
+    awaitable<result<std::uint64_t>>
+    token_for(service_state& service, const std::string& instance);
+
+    boost::asio::io_context& io_;
+    store& store_;
+    promotion_port& platform_;
+    pooling::member_connector& connector_;
+    const upstream_directory& directory_;
+    settings settings_;
+    log::event_log& events_;
+    configuration_ptr configuration_;
+    std::map<std::string, service_state, std::less<>> services_;
+    lease_clock lease_;
+    std::uint64_t lease_id_ = 0;
+    /// Holder and revision of the key as the store has it.
+    std::string holder_;
+    std::uint64_t revision_ = 0;
+    time_point free_since_ = never;
+    std::uint64_t orders_ = 0;
+    bool leaving_ = false;
+};
+
+} // namespace zinniahub::coordination
--- /dev/null
+++ b/src/coordination/store_follower.cpp
@@ -0,0 +1,134 @@
+#include "coordination/store_follower.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace zinniahub::coordination
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr duration first_retry = std::chrono::milliseconds(60);
+constexpr duration longest_retry = std::chrono::milliseconds(480);
+
+/// Time between a change and the listing that replaces a lost history.
+duration retry_delay(unsigned failures)
+{
+    const auto exponent = std::min(failures, 3U);
+    return std::min(longest_retry, first_retry * (1 << exponent));
+}
+
+} // namespace
+
+store_follower::store_follower(
+    asio::io_context& io, store& source, settings values, handlers callbacks,
+    log::event_log& events)
+    : io_(io)
+    , store_(source)
+    , settings_(std::move(values))
+    , handlers_(std::move(callbacks))
+    , events_(events)
+{
+}
+
+void store_follower::start()
+{
+    asio::co_spawn(io_, follow(), asio::detached);
+}
+
+awaitable<void> store_follower::sleep(duration length)
+{
+    asio::steady_timer timer(io_, length);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+void store_follower::on_failure(const error& failure)
+{
+    if (failures_++ == 0)
+    {
+        events_.write(
+            "store_lost", {{"prefix", settings_.prefix},
+                           {"error", to_string(failure.code)},
+                           {"at", at_}});
+    }
+}
+
+void store_follower::on_success(time_point asked_at)
+{
+    if (failures_ > 0)
+    {
+        events_.write(
+            "store_regained",
+            {{"prefix", settings_.prefix}, {"failures", failures_}});
+    }
+    failures_ = 0;
+    confirmed_at_ = std::max(confirmed_at_, asked_at);
+}
+
+awaitable<bool> store_follower::list()
+{
+    const auto asked_at = clock::now();
+    const auto batch = co_await store_.list(settings_.prefix);
+    if (!batch)
+    {
+        on_failure(batch.error());
+        co_return false;
+    }
+    on_success(asked_at);
+    at_ = batch->at;
+    handlers_.listed(*batch);
+    co_return true;
+}
+
+awaitable<bool> store_follower::watch()
+{
+    const auto asked_at = clock::now();
+    const auto batch =
+        co_await store_.watch(settings_.prefix, at_, settings_.watch_wait);
+    if (!batch)
+    {
+        if (batch.error().code == errc::not_found)
+        {
+            events_.write(
+                "history_lost", {{"prefix", settings_.prefix}, {"at", at_}});
+            co_return false;
+        }
+        on_failure(batch.error());
+        co_await sleep(retry_delay(failures_ - 1));
+        co_return true;
+    }
+    on_success(asked_at);
+    at_ = std::max(at_, batch->at);
+    if (!batch->items.empty())
+    {
+        handlers_.changed(*batch);
+    }
+    co_return true;
+}
+
+awaitable<void> store_follower::follow()
+{
+    while (true)
+    {
+        while (!co_await list())
+        {
+            co_await sleep(retry_delay(failures_ - 1));
+        }
+        while (co_await watch())
+        {
+            if (settings_.pause > duration::zero())
+            {
+                co_await sleep(settings_.pause);
+            }
+        }
+    }
+}
+
+} // namespace zinniahub::coordination
--- /dev/null
+++ b/src/coordination/store_follower.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "coordination/store.hpp"
+
+#include "observability/event_log.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <string>
+
+namespace zinniahub::coordination
+{
+
+/// @brief Keeps a copy of the items below a prefix up to date: lists them, then
+/// watches, and lists again when the store has dropped the history between.
+///
+/// Items come in the order of their revisions, never an older state after a
+/// newer one.
+class store_follower
+{
+public:
+    struct settings
+    {
+        std::string prefix;
+        /// Longest wait of one watch. A watch that the network lost is noticed
+        /// this late.
+        duration watch_wait = std::chrono::milliseconds(1200);
+        /// Time between two watches, in which changes gather.
+        duration pause = std::chrono::milliseconds(0);
+    };
+
+    struct handlers
+    {
+        /// All items, after a new listing.
+        std::function<void(const store_batch&)> listed;
+        /// Changes since the last batch.
+        std::function<void(const store_batch&)> changed;
+    };
+
+    store_follower(
+        boost::asio::io_context& io, store& source, settings values,
+        handlers callbacks, log::event_log& events);
+
+    /// @brief Follows until the io_context ends.
+    void start();
+
+    /// @brief Last time at which the copy was up to date; min() before the
+    /// first listing.
+    time_point confirmed_at() const
+    {
+        return confirmed_at_;
+    }
+
+private:
+    awaitable<void> follow();
+    awaitable<bool> list();
+    awaitable<bool> watch();
+    awaitable<void> sleep(duration length);
+    void on_failure(const error& failure);
+    void on_success(time_point asked_at);
+
+    boost::asio::io_context& io_;
+    store& store_;
+    settings settings_;
+    handlers handlers_;
+    log::event_log& events_;
+    std::uint64_t at_ = 0;
+    time_point confirmed_at_ = time_point::min();
+    unsigned failures_ = 0;
+};
+
+} // namespace zinniahub::coordination
--- a/src/platform/keys.hpp
+++ b/src/kv/keys.hpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace zinniahub::platform
+namespace zinniahub::kv
 {
 
 /// Prefix of declared resources.
@@ -40,4 +40,4 @@
     return std::string(prefix).append(std::to_string(number));
 }
 
-} // namespace zinniahub::platform
+} // namespace zinniahub::kv
--- a/src/platform/platform_client.cpp
+++ b/src/kv/platform_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_client.hpp"
+#include "kv/platform_client.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -18,7 +18,7 @@
 #include <utility>
 #include <vector>
 
-namespace zinniahub::platform
+namespace zinniahub::kv
 {
 
 namespace
@@ -562,4 +562,4 @@
     return repeat_write(store, key, expected_revision, write, revision_if_done);
 }
 
-} // namespace zinniahub::platform
+} // namespace zinniahub::kv
--- a/src/platform/platform_client.hpp
+++ b/src/kv/platform_client.hpp
@@ -13,7 +13,7 @@
 #include <string>
 #include <string_view>
 
-namespace zinniahub::platform
+namespace zinniahub::kv
 {
 
 /// @brief Maps the code of a platform reply. `PLATFORM_COMPACTED` becomes
@@ -157,4 +157,4 @@
     platform_store& store, std::string_view key,
     std::uint64_t expected_revision);
 
-} // namespace zinniahub::platform
+} // namespace zinniahub::kv
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -29,6 +29,9 @@
 
 constexpr std::array subcommands{
     subcommand{"serve", "run the proxy", commands::run_serve},
+    subcommand{
+        "serve-platform", "run the proxy on the users' platform",
+        commands::run_serve_platform},
     subcommand{"check", "check a settings file", commands::run_check},
     subcommand{
         "apply", "declare a group, customer, key, domain or member",
@@ -48,7 +51,7 @@
 {
     fmt::print(stream, "usage: zinniahub COMMAND [ARGUMENT...]\n\n");
     for (const auto& entry : subcommands)
-        fmt::print(stream, "  {:<10}{}\n", entry.name, entry.summary);
+        fmt::print(stream, "  {:<16}{}\n", entry.name, entry.summary);
     fmt::print(
         stream,
         "\nEach command has --help and --version. Exit codes are listed "
--- /dev/null
+++ b/src/observability/event_log.cpp
@@ -0,0 +1,136 @@
+#include "observability/event_log.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <fcntl.h>
+#include <iterator>
+#include <unistd.h>
+
+namespace zinniahub::log
+{
+
+namespace
+{
+
+/// Bytes kept for a descriptor that takes none; more are dropped.
+constexpr std::size_t max_pending_bytes = std::size_t{64} * 1024;
+
+std::int64_t unix_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+struct value_writer
+{
+    std::string& out;
+
+    void operator()(std::string_view text) const
+    {
+        // Invalid UTF-8 comes from outside and is replaced.
+        out += nlohmann::json(text).dump(
+            -1, ' ', true, nlohmann::json::error_handler_t::replace);
+    }
+
+    template<typename T>
+    void operator()(T number) const
+    {
+        fmt::format_to(std::back_inserter(out), "{}", number);
+    }
+};
+
+} // namespace
+
+event_log::event_log(settings values)
+    : settings_(std::move(values))
+{
+    const int flags = fcntl(settings_.descriptor, F_GETFL);
+    if (flags >= 0)
+    {
+        fcntl(settings_.descriptor, F_SETFL, flags | O_NONBLOCK);
+    }
+}
+
+bool event_log::take(std::string_view kind, time_point now)
+{
+    auto found = budgets_.find(kind);
+    if (found == budgets_.end())
+    {
+        found = budgets_.emplace(kind, budget{}).first;
+        found->second = {static_cast<double>(settings_.burst), now, 0};
+    }
+    auto& lines = found->second;
+    lines.lines = std::min<double>(
+        settings_.burst,
+        lines.lines +
+            to_seconds(now - lines.filled_at) * settings_.lines_per_second);
+    lines.filled_at = now;
+    if (lines.lines < 1 || pending_.size() > max_pending_bytes)
+    {
+        ++lines.dropped;
+        ++dropped_;
+        return false;
+    }
+    lines.lines -= 1;
+    if (lines.dropped > 0)
+    {
+        report_dropped(kind, lines);
+    }
+    return true;
+}
+
+void event_log::report_dropped(std::string_view kind, budget& lines)
+{
+    const auto count = std::exchange(lines.dropped, 0);
+    append_line("log_dropped", {{"kind", kind}, {"lines", count}});
+}
+
+void event_log::append_line(
+    std::string_view kind, std::initializer_list<field> fields)
+{
+    const value_writer writer{pending_};
+    fmt::format_to(
+        std::back_inserter(pending_), R"({{"ts":{},"up_ms":{},"node":"{}")",
+        unix_ms(), clock::now().time_since_epoch() / std::chrono::milliseconds(1),
+        settings_.node);
+    pending_ += R"(,"event":)";
+    writer(kind);
+    for (const auto& entry : fields)
+    {
+        pending_ += ",\"";
+        pending_ += entry.name;
+        pending_ += "\":";
+        std::visit(writer, entry.value);
+    }
+    pending_ += "}\n";
+}
+
+void event_log::write(
+    std::string_view kind, std::initializer_list<field> fields)
+{
+    if (take(kind, clock::now()))
+    {
+        append_line(kind, fields);
+    }
+    flush();
+}
+
+void event_log::flush()
+{
+    while (!pending_.empty())
+    {
+        const auto written =
+            ::write(settings_.descriptor, pending_.data(), pending_.size());
+        if (written <= 0)
+        {
+            return;
+        }
+        pending_.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+} // namespace zinniahub::log
--- /dev/null
+++ b/src/observability/event_log.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <zinniahub/time.hpp>
+
+#include <cstdint>
+#include <initializer_list>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace zinniahub::log
+{
+
+/// @brief One field of an event.
+struct field
+{
+    using value_type = std::variant<
+        std::string_view, std::int64_t, std::uint64_t, double, bool>;
+
+    template<typename T>
+    field(std::string_view field_name, const T& field_value)
+        : name(field_name)
+        , value(convert(field_value))
+    {
+    }
+
+    std::string_view name;
+    value_type value;
+
+private:
+    template<typename T>
+    static value_type convert(const T& source)
+    {
+        if constexpr (std::is_same_v<T, bool>)
+        {
+            return source;
+        }
+        else if constexpr (std::is_floating_point_v<T>)
+        {
+            return static_cast<double>(source);
+        }
+        else if constexpr (std::is_unsigned_v<T>)
+        {
+            return static_cast<std::uint64_t>(source);
+        }
+        else if constexpr (std::is_integral_v<T>)
+        {
+            return static_cast<std::int64_t>(source);
+        }
+        else
+        {
+            return std::string_view(source);
+        }
+    }
+};
+
+/// @brief Writes events as JSON lines to a descriptor that never blocks the
+/// caller.
+///
+/// Each kind of event has a budget of lines per second. Lines beyond the
+/// budget, and lines that the descriptor does not take at once, are counted
+/// and reported by a line "log_dropped" when there is room again.
+class event_log
+{
+public:
+    struct settings
+    {
+        /// Open descriptor; it is made non-blocking.
+        int descriptor = 1;
+        std::string node;
+        /// Lines per second of one kind.
+        std::uint32_t lines_per_second = 20;
+        /// Lines that a kind may use at once.
+        std::uint32_t burst = 60;
+    };
+
+    explicit event_log(settings values);
+
+    /// @brief Writes one event.
+    /// @param kind literal that names the event, for example "store_lost"
+    void write(std::string_view kind, std::initializer_list<field> fields);
+
+    /// @brief Lines left out since the start.
+    std::uint64_t dropped() const
+    {
+        return dropped_;
+    }
+
+private:
+    struct budget
+    {
+        double lines = 0;
+        time_point filled_at{};
+        std::uint64_t dropped = 0;
+    };
+
+    bool take(std::string_view kind, time_point now);
+    void report_dropped(std::string_view kind, budget& lines);
+    void append_line(
+        std::string_view kind, std::initializer_list<field> fields);
+    void flush();
+
+    settings settings_;
+    std::map<std::string, budget, std::less<>> budgets_;
+    std::uint64_t dropped_ = 0;
+    /// Bytes that the descriptor has not taken yet.
+    std::string pending_;
+};
+
+} // namespace zinniahub::log
--- a/src/operator/apply.cpp
+++ b/src/operator/apply.cpp
@@ -1,6 +1,6 @@
 #include "operator/apply.hpp"
 
-#include "platform/keys.hpp"
+#include "kv/keys.hpp"
 
 #include <zinniahub/customer_keys.hpp>
 
@@ -28,9 +28,9 @@
 /// Operators that allocate uids at the same time meet in conflicts.
 constexpr int uid_attempts = 16;
 
-constexpr resource_kind group_kind{"group", platform::group_prefix};
-constexpr resource_kind customer_kind{"customer", platform::customer_prefix};
-constexpr resource_kind domain_kind{"domain", platform::domain_prefix};
+constexpr resource_kind group_kind{"group", kv::group_prefix};
+constexpr resource_kind customer_kind{"customer", kv::customer_prefix};
+constexpr resource_kind domain_kind{"domain", kv::domain_prefix};
 
 result<std::uint64_t> make_change_id()
 {
@@ -43,7 +43,7 @@
 
 /// @brief Reads a resource; one that does not exist has revision 0.
 result<stored_resource> read_or_empty(
-    platform::platform_store& store, const resource_kind& kind,
+    kv::platform_store& store, const resource_kind& kind,
     std::string_view name)
 {
     auto stored = read_resource(store, kind, name);
@@ -76,7 +76,7 @@
 
 /// @brief Writes `value` over the state that was read before.
 result<applied> write(
-    platform::platform_store& store, stored_resource current,
+    kv::platform_store& store, stored_resource current,
     v1::Resource value)
 {
     if (const auto valid = validate(value); !valid)
@@ -93,8 +93,8 @@
         return found.ParseFromString(std::string(stored)) &&
                found.change_id() == id;
     };
-    const auto revision = platform::compare_and_swap(
-        store, platform::key_of(current.kind.prefix, current.name),
+    const auto revision = kv::compare_and_swap(
+        store, kv::key_of(current.kind.prefix, current.name),
         value.SerializeAsString(), current.revision, is_own);
     if (!revision)
         return tl::make_unexpected(revision.error());
@@ -106,7 +106,7 @@
 /// @brief Reads a resource, changes it and writes it back.
 template<typename Change>
 result<applied> update(
-    platform::platform_store& store, result<stored_resource> stored,
+    kv::platform_store& store, result<stored_resource> stored,
     expected_revision expected, Change change)
 {
     if (!stored)
@@ -126,10 +126,10 @@
     std::uint64_t revision = 0;
 };
 
-result<uid_counter> read_uid_counter(platform::platform_store& store)
+result<uid_counter> read_uid_counter(kv::platform_store& store)
 {
     v1::GetRequest request;
-    request.set_key(std::string(platform::uid_counter_key));
+    request.set_key(std::string(kv::uid_counter_key));
     const auto reply = store.get(request);
     if (!reply && reply.error().code == errc::not_found)
         return uid_counter{};
@@ -145,7 +145,7 @@
 
 /// @brief Takes the next group uid. A uid that is taken and then not used is
 /// lost, so none is given out twice.
-result<std::uint64_t> allocate_uid(platform::platform_store& store)
+result<std::uint64_t> allocate_uid(kv::platform_store& store)
 {
     for (int attempt = 0; attempt < uid_attempts; ++attempt)
     {
@@ -156,8 +156,8 @@
         if (!change_id)
             return tl::make_unexpected(change_id.error());
         const auto value = fmt::format("{} {}", counter->next + 1, *change_id);
-        const auto written = platform::compare_and_swap(
-            store, platform::uid_counter_key, value, counter->revision,
+        const auto written = kv::compare_and_swap(
+            store, kv::uid_counter_key, value, counter->revision,
             [&value](std::string_view stored) { return stored == value; });
         if (written)
             return counter->next;
@@ -218,7 +218,7 @@
 /// @brief Checks that no other customer has the key: a proxy could not tell
 /// whose request it is.
 result<void> check_key_is_free(
-    platform::platform_store& store, std::string_view customer,
+    kv::platform_store& store, std::string_view customer,
     std::string_view digest)
 {
     const auto customers = list_resources(store, customer_kind);
@@ -264,7 +264,7 @@
 } // namespace
 
 result<applied> apply_group(
-    platform::platform_store& store, const group_declaration& declared,
+    kv::platform_store& store, const group_declaration& declared,
     expected_revision expected)
 {
     const auto change = [&](v1::Resource& value) -> result<void>
@@ -290,7 +290,7 @@
 }
 
 result<applied> apply_customer(
-    platform::platform_store& store, const customer_declaration& declared,
+    kv::platform_store& store, const customer_declaration& declared,
     expected_revision expected)
 {
     const auto change = [&](v1::Resource& value) -> result<void>
@@ -314,7 +314,7 @@
 }
 
 result<applied> apply_key(
-    platform::platform_store& store, std::string_view customer,
+    kv::platform_store& store, std::string_view customer,
     std::string_view id, std::string_view key, expected_revision expected)
 {
     if (key.size() < min_key_length || key.size() > max_key_length)
@@ -335,7 +335,7 @@
 }
 
 result<applied> apply_domain(
-    platform::platform_store& store, std::string_view name, bool in_service,
+    kv::platform_store& store, std::string_view name, bool in_service,
     expected_revision expected)
 {
     const auto change = [&](v1::Resource& value) -> result<void>
@@ -349,7 +349,7 @@
 }
 
 result<applied> apply_member(
-    platform::platform_store& store, std::string_view member, bool leaving,
+    kv::platform_store& store, std::string_view member, bool leaving,
     expected_revision expected)
 {
     const auto slash = member.find('/');
@@ -374,7 +374,7 @@
 }
 
 result<std::uint64_t> withdraw_resource(
-    platform::platform_store& store, const resource_kind& kind,
+    kv::platform_store& store, const resource_kind& kind,
     std::string_view name, expected_revision expected)
 {
     const auto stored = read_resource(store, kind, name);
@@ -382,12 +382,12 @@
         return tl::make_unexpected(stored.error());
     if (const auto matches = check_expected(*stored, expected); !matches)
         return tl::make_unexpected(matches.error());
-    return platform::compare_and_remove(
-        store, platform::key_of(kind.prefix, name), stored->revision);
+    return kv::compare_and_remove(
+        store, kv::key_of(kind.prefix, name), stored->revision);
 }
 
 result<applied> withdraw_key(
-    platform::platform_store& store, std::string_view customer,
+    kv::platform_store& store, std::string_view customer,
     std::string_view id, expected_revision expected)
 {
     const auto change = [&](v1::Resource& value) -> result<void>
--- a/src/operator/apply.hpp
+++ b/src/operator/apply.hpp
@@ -38,7 +38,7 @@
 /// @brief Creates or replaces a group. An existing group keeps its uid, and a
 /// member that is leaving keeps leaving.
 result<applied> apply_group(
-    platform::platform_store& store, const group_declaration& declared,
+    kv::platform_store& store, const group_declaration& declared,
     expected_revision expected);
 
 struct customer_declaration
@@ -56,34 +56,34 @@
 
 /// @brief Creates or changes a customer. An existing customer keeps its keys.
 result<applied> apply_customer(
-    platform::platform_store& store, const customer_declaration& declared,
+    kv::platform_store& store, const customer_declaration& declared,
     expected_revision expected);
 
 /// @brief Adds the digest of a key to a customer.
 /// @return `errc::already_exists` if the id names another key or another
 /// customer has the same key
 result<applied> apply_key(
-    platform::platform_store& store, std::string_view customer,
+    kv::platform_store& store, std::string_view customer,
     std::string_view id, std::string_view key, expected_revision expected);
 
 result<applied> apply_domain(
-    platform::platform_store& store, std::string_view name, bool in_service,
+    kv::platform_store& store, std::string_view name, bool in_service,
     expected_revision expected);
 
 /// @param member as GROUP/MEMBER
 result<applied> apply_member(
-    platform::platform_store& store, std::string_view member, bool leaving,
+    kv::platform_store& store, std::string_view member, bool leaving,
     expected_revision expected);
 
 /// @brief Removes a resource. @return the revision of the removal, 0 if it is
 /// not known because the answer was lost
 result<std::uint64_t> withdraw_resource(
-    platform::platform_store& store, const resource_kind& kind,
+    kv::platform_store& store, const resource_kind& kind,
     std::string_view name, expected_revision expected);
 
 /// @brief Removes the digest of a key from a customer.
 result<applied> withdraw_key(
-    platform::platform_store& store, std::string_view customer,
+    kv::platform_store& store, std::string_view customer,
     std::string_view id, expected_revision expected);
 
 /// @brief Makes a key of 32 random bytes in hexadecimal form.
--- a/src/operator/apply_command.cpp
+++ b/src/operator/apply_command.cpp
@@ -53,7 +53,7 @@
     std::string generated_key;
 };
 
-using store_reference = platform::platform_store&;
+using store_reference = kv::platform_store&;
 
 /// @brief One form of `apply`.
 struct apply_form
--- a/src/operator/commands.hpp
+++ b/src/operator/commands.hpp
@@ -19,5 +19,6 @@
 exit_code run_withdraw(arguments args);
 exit_code run_watch(arguments args);
 exit_code run_exec(arguments args);
+exit_code run_serve_platform(arguments args);
 
 } // namespace zinniahub::commands
--- a/src/operator/read_command.cpp
+++ b/src/operator/read_command.cpp
@@ -12,7 +12,7 @@
 {
 
 result<std::vector<stored_resource>> read_kinds(
-    platform::platform_store& store, const std::vector<std::string>& names)
+    kv::platform_store& store, const std::vector<std::string>& names)
 {
     std::vector<resource_kind> kinds(
         resource_kinds().begin(), resource_kinds().end());
@@ -35,7 +35,7 @@
 }
 
 result<std::vector<stored_resource>>
-read_one(platform::platform_store& store, const std::vector<std::string>& names)
+read_one(kv::platform_store& store, const std::vector<std::string>& names)
 {
     const auto kind = kind_of(names[0]);
     if (!kind)
@@ -47,7 +47,7 @@
 }
 
 using read_function = result<std::vector<stored_resource>> (*)(
-    platform::platform_store&, const std::vector<std::string>&);
+    kv::platform_store&, const std::vector<std::string>&);
 
 void print(
     const std::vector<stored_resource>& resources, output_format format,
--- a/src/operator/resource.cpp
+++ b/src/operator/resource.cpp
@@ -2,7 +2,7 @@
 
 #include "control/resource_codec.hpp"
 #include "operator/json.hpp"
-#include "platform/keys.hpp"
+#include "kv/keys.hpp"
 
 #include <fmt/format.h>
 
@@ -20,9 +20,9 @@
 {
 
 constexpr std::array kinds{
-    resource_kind{"group", platform::group_prefix},
-    resource_kind{"customer", platform::customer_prefix},
-    resource_kind{"domain", platform::domain_prefix}};
+    resource_kind{"group", kv::group_prefix},
+    resource_kind{"customer", kv::customer_prefix},
+    resource_kind{"domain", kv::domain_prefix}};
 
 result<stored_resource>
 decode(const resource_kind& kind, const v1::KeyValue& entry)
@@ -155,11 +155,11 @@
 }
 
 result<stored_resource> read_resource(
-    platform::platform_store& store, const resource_kind& kind,
+    kv::platform_store& store, const resource_kind& kind,
     std::string_view name)
 {
     v1::GetRequest request;
-    request.set_key(platform::key_of(kind.prefix, name));
+    request.set_key(kv::key_of(kind.prefix, name));
     const auto reply = store.get(request);
     if (reply)
         return decode(kind, reply->entry());
@@ -170,7 +170,7 @@
 }
 
 result<std::vector<stored_resource>>
-list_resources(platform::platform_store& store, const resource_kind& kind)
+list_resources(kv::platform_store& store, const resource_kind& kind)
 {
     v1::RangeRequest request;
     request.set_prefix(std::string(kind.prefix));
--- a/src/operator/resource.hpp
+++ b/src/operator/resource.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platform_client.hpp"
+#include "kv/platform_client.hpp"
 #include "zinniahub/v1/configuration.pb.h"
 
 #include <zinniahub/error.hpp>
@@ -42,12 +42,12 @@
 /// @return `errc::not_found` if there is none, `errc::resource_invalid` if the
 /// stored record is damaged, or the platform's failure
 result<stored_resource> read_resource(
-    platform::platform_store& store, const resource_kind& kind,
+    kv::platform_store& store, const resource_kind& kind,
     std::string_view name);
 
 /// @brief Reads all resources of a kind, in the order of their names.
 result<std::vector<stored_resource>>
-list_resources(platform::platform_store& store, const resource_kind& kind);
+list_resources(kv::platform_store& store, const resource_kind& kind);
 
 /// @brief Checks a resource before it is written, by the rules that the hosts
 /// apply when they read it.
--- a/src/operator/store_options.cpp
+++ b/src/operator/store_options.cpp
@@ -44,7 +44,7 @@
     return own;
 }
 
-result<std::unique_ptr<platform::platform_store>>
+result<std::unique_ptr<kv::platform_store>>
 open_store(const store_options& options)
 {
     if (!settings::is_connectable_address(options.platform))
@@ -54,7 +54,7 @@
             fmt::format(
                 "--platform: \"{}\", needed: IP:port", options.platform));
     }
-    return platform::blocking_platform_client::make(
+    return kv::blocking_platform_client::make(
         options.platform, call_timeout);
 }
 
--- a/src/operator/store_options.hpp
+++ b/src/operator/store_options.hpp
@@ -2,7 +2,7 @@
 
 #include "operator/command_line.hpp"
 #include "operator/output.hpp"
-#include "platform/platform_client.hpp"
+#include "kv/platform_client.hpp"
 
 #include <memory>
 #include <string>
@@ -23,7 +23,7 @@
 
 /// @brief Connects to the platform named on the command line.
 /// @return `errc::usage` if the address is missing or malformed
-result<std::unique_ptr<platform::platform_store>>
+result<std::unique_ptr<kv::platform_store>>
 open_store(const store_options& options);
 
 /// @brief Parses the arguments of a command and checks how many there are.
--- a/src/operator/watch.cpp
+++ b/src/operator/watch.cpp
@@ -3,7 +3,7 @@
 #include "control/report_codec.hpp"
 #include "control/resource_codec.hpp"
 #include "operator/json.hpp"
-#include "platform/keys.hpp"
+#include "kv/keys.hpp"
 
 #include <fmt/format.h>
 
@@ -100,13 +100,13 @@
 }
 
 result<fleet_view>
-read_fleet(platform::platform_store& store, std::uint64_t now_ms)
+read_fleet(kv::platform_store& store, std::uint64_t now_ms)
 {
     const auto hosts = store.list_hosts();
     if (!hosts)
         return tl::make_unexpected(hosts.error());
     v1::RangeRequest request;
-    request.set_prefix(std::string(platform::observed_prefix));
+    request.set_prefix(std::string(kv::observed_prefix));
     const auto reports = store.range(request);
     if (!reports)
         return tl::make_unexpected(reports.error());
--- a/src/operator/watch.hpp
+++ b/src/operator/watch.hpp
@@ -41,7 +41,7 @@
 
 /// @brief Reads the host list and the reports of the failure domains.
 result<fleet_view>
-read_fleet(platform::platform_store& store, std::uint64_t now_ms);
+read_fleet(kv::platform_store& store, std::uint64_t now_ms);
 
 std::string to_json(const watched_resource& watched);
 
--- a/src/operator/watch_command.cpp
+++ b/src/operator/watch_command.cpp
@@ -51,7 +51,7 @@
 /// @brief Reads all resources. A withdrawn resource is watched by the revision
 /// of its removal.
 result<resources> read_declared(
-    platform::platform_store& store, const std::vector<std::string>& names,
+    kv::platform_store& store, const std::vector<std::string>& names,
     const watch_options& values)
 {
     resources all;
@@ -78,7 +78,7 @@
 using statuses = std::vector<watched_resource>;
 
 result<statuses> read_status(
-    platform::platform_store& store, const std::vector<std::string>& names,
+    kv::platform_store& store, const std::vector<std::string>& names,
     const watch_options& values)
 {
     // The reports are read first: a resource that changes in between can only
@@ -119,7 +119,7 @@
 
 /// @brief Prints the status when it changes, until it has converged.
 exit_code watch_until(
-    platform::platform_store& store, const std::vector<std::string>& names,
+    kv::platform_store& store, const std::vector<std::string>& names,
     const watch_options& values, output_format format)
 {
     const auto timeout =
--- /dev/null
+++ b/src/pooling/client_session.cpp
@@ -0,0 +1,672 @@
+#include "pooling/client_session.hpp"
+
+#include <algorithm>
+
+namespace zinniahub::pooling
+{
+
+namespace
+{
+
+/// Sessions may be idle for long; a dead client is noticed by keep-alive.
+constexpr duration idle_session_limit = std::chrono::hours(1);
+
+/// Commands that take no slot are answered in a round trip.
+constexpr duration command_timeout = std::chrono::milliseconds(500);
+
+/// Part of the latency objective for which a request waits for a connection
+/// while members are usable. The rest is for the statement itself.
+constexpr double waiting_part = 0.7;
+
+/// The same while no member is usable. A refusal that comes later leaves the
+/// client too little time to try another host.
+constexpr double waiting_part_down = 0.22;
+
+/// Attempts of one statement at different members.
+constexpr unsigned max_attempts = 4;
+
+/// Answers that ran late or after several attempts are logged one by one;
+/// other successes are counted only.
+constexpr unsigned logged_attempts = 2;
+
+duration part_of(duration whole, double part)
+{
+    return std::chrono::duration_cast<duration>(whole * part);
+}
+
+reply_code refusal_code(errc code)
+{
+    switch (code)
+    {
+    case errc::rate_exceeded:
+        return reply_code::too_many;
+    case errc::key_invalid:
+        return reply_code::unauthorized;
+    case errc::group_unknown:
+        return reply_code::unknown_database;
+    default:
+        return reply_code::busy;
+    }
+}
+
+} // namespace
+
+client_session::client_session(
+    front& owner, std::shared_ptr<client_stream> stream, std::string database,
+    std::string customer, std::string key)
+    : front_(owner)
+    , stream_(std::move(stream))
+    , database_(std::move(database))
+    , customer_(std::move(customer))
+    , key_(std::move(key))
+{
+}
+
+awaitable<void> client_session::run()
+{
+    while (co_await wait_and_serve())
+    {
+    }
+    abandon_transaction();
+    stream_->close();
+}
+
+awaitable<bool> client_session::wait_and_serve()
+{
+    const bool in_transaction = state_ != transaction_state::none;
+    if (!in_transaction && front_.is_closing())
+    {
+        co_return false;
+    }
+    const auto limit = in_transaction
+                           ? front_.configuration()->transaction_idle_limit
+                           : idle_session_limit;
+    auto next = co_await stream_->next(limit);
+    if (!next)
+    {
+        const auto code = next.error().code;
+        if (code == errc::draining)
+        {
+            const bool ends = in_transaction && front_.ends_transactions();
+            co_return in_transaction && !ends;
+        }
+        if (code == errc::statement_too_large || code == errc::request_invalid)
+        {
+            co_await stream_->send(refuse(
+                code == errc::statement_too_large ? reply_code::too_large
+                                                  : reply_code::malformed,
+                next.error().detail));
+        }
+        co_return false;
+    }
+    busy_ = true;
+    trace_ = {clock::now(), {}, 0, errc::request_invalid};
+    auto answer = co_await handle(*next);
+    answer.state = state_;
+    record(*next, answer);
+    const bool sent = co_await stream_->send(answer);
+    busy_ = false;
+    co_return sent;
+}
+
+awaitable<reply> client_session::handle(const statement& value)
+{
+    if (state_ == transaction_state::failed &&
+        value.kind != statement_kind::rollback &&
+        value.kind != statement_kind::commit)
+    {
+        co_return refuse(reply_code::malformed, "the transaction has failed");
+    }
+    switch (value.kind)
+    {
+    case statement_kind::set_value:
+        co_return set_session_value(value);
+    case statement_kind::prepare_read:
+    case statement_kind::prepare_write:
+        co_return prepare(value);
+    case statement_kind::deallocate:
+        co_return deallocate(value);
+    case statement_kind::begin:
+    case statement_kind::begin_read_only:
+        co_return begin(value);
+    case statement_kind::commit:
+    case statement_kind::rollback:
+        co_return co_await end_transaction(value);
+    case statement_kind::read:
+    case statement_kind::write:
+    case statement_kind::execute:
+        co_return co_await run_data_statement(value);
+    case statement_kind::invalid:
+        break;
+    }
+    co_return refuse(reply_code::malformed, "unknown statement");
+}
+
+reply client_session::set_session_value(const statement& value)
+{
+    values_.values[value.name] = value.argument;
+    return {.signature = "-"};
+}
+
+reply client_session::prepare(const statement& value)
+{
+    values_.prepared[value.name] = {
+        value.kind == statement_kind::prepare_write, value.argument};
+    return {.signature = "-"};
+}
+
+reply client_session::deallocate(const statement& value)
+{
+    values_.prepared.erase(value.name);
+    return {.signature = "-"};
+}
+
+reply client_session::begin(const statement& value)
+{
+    if (state_ != transaction_state::none)
+    {
+        return refuse(reply_code::malformed, "a transaction is open");
+    }
+    // A member is chosen with the first statement: the client may pause first.
+    state_ = transaction_state::open;
+    read_only_ = value.kind == statement_kind::begin_read_only;
+    transaction_wrote_ = false;
+    return {.signature = "-"};
+}
+
+awaitable<reply> client_session::end_transaction(const statement& value)
+{
+    const bool failed = state_ == transaction_state::failed;
+    if (state_ == transaction_state::none)
+    {
+        co_return refuse(reply_code::malformed, "no transaction is open");
+    }
+    if (value.kind == statement_kind::rollback || failed)
+    {
+        abandon_transaction();
+        state_ = transaction_state::none;
+        if (value.kind == statement_kind::rollback)
+        {
+            co_return reply{.signature = "-"};
+        }
+        co_return refuse(reply_code::aborted, "the transaction has failed");
+    }
+    auto answer = co_await run_in_transaction(value);
+    if (connection_ && answer.state == transaction_state::none)
+    {
+        connection_.reset();
+    }
+    abandon_transaction();
+    state_ = transaction_state::none;
+    co_return answer;
+}
+
+awaitable<reply> client_session::run_data_statement(const statement& value)
+{
+    if (value.kind == statement_kind::execute &&
+        prepared_for(value) == nullptr)
+    {
+        co_return refuse(
+            reply_code::unknown_prepared, "no such prepared statement");
+    }
+    if (state_ == transaction_state::none)
+    {
+        co_return co_await run_single(value);
+    }
+    auto answer = co_await run_in_transaction(value);
+    if (!answer.ok() && state_ != transaction_state::open)
+    {
+        abandon_transaction();
+    }
+    co_return answer;
+}
+
+std::optional<reply> client_session::refuse_operation(time_point now)
+{
+    const auto& configuration = *front_.configuration();
+    const auto found = configuration.routes.find(database_);
+    if (found == configuration.routes.end())
+    {
+        trace_.why = errc::group_unknown;
+        return refuse(reply_code::unknown_database, "no such database");
+    }
+    route_ = found->second;
+    customer_ = front_.customer_of(*route_, key_);
+    if (customer_.empty())
+    {
+        trace_.why = errc::key_invalid;
+        return refuse(reply_code::unauthorized, "unknown key");
+    }
+    if (!front_.rates().admit(customer_, now))
+    {
+        trace_.why = errc::rate_exceeded;
+        return refuse(reply_code::too_many, "rate exceeded, retry after 200 ms");
+    }
+    return std::nullopt;
+}
+
+access_request client_session::make_request(const statement& value) const
+{
+    access_request request;
+    request.request_id = value.id;
+    request.customer = customer_;
+    request.session = &values_;
+    request.priority = route_->priority;
+    request.wait_until =
+        trace_.started + part_of(route_->target_latency, waiting_part);
+    request.wait_until_down =
+        trace_.started + part_of(route_->target_latency, waiting_part_down);
+    return request;
+}
+
+awaitable<reply> client_session::run_single(const statement& value)
+{
+    if (auto refusal = refuse_operation(trace_.started))
+    {
+        co_return *refusal;
+    }
+    auto request = make_request(value);
+    const bool is_read = !writes(value);
+    while (trace_.attempts < max_attempts)
+    {
+        ++trace_.attempts;
+        const auto now = clock::now();
+        std::optional<log_position> required;
+        if (is_read && route_->consistency != read_consistency::latest)
+        {
+            required = front_.gateway(route_->service)
+                           .required_position(now, route_->max_staleness);
+        }
+        std::optional<reply> answer;
+        if (required)
+        {
+            answer = co_await read_on_member(value, request, required);
+        }
+        else
+        {
+            answer = co_await run_on_primary(value, request);
+        }
+        if (answer)
+        {
+            co_return std::move(*answer);
+        }
+        // Each attempt that a member runs counts towards the rate.
+        if (trace_.attempts > 1 &&
+            !front_.rates().admit(customer_, clock::now()))
+        {
+            trace_.why = errc::rate_exceeded;
+            break;
+        }
+    }
+    co_return refuse(reply_code::busy, "no member took the request");
+}
+
+awaitable<std::optional<reply>> client_session::read_on_member(
+    const statement& value, access_request& request,
+    std::optional<log_position>& required)
+{
+    auto& gateway = front_.gateway(route_->service);
+    const bool own_writes =
+        route_->consistency == read_consistency::read_your_writes;
+    auto lease = co_await gateway.take_reader(
+        request, own_writes ? std::max(*required, position_) : *required);
+    if (!lease)
+    {
+        trace_.why = lease.error().code;
+        co_return refuse(
+            refusal_code(lease.error().code), "no member is available");
+    }
+    trace_.instance = lease->instance();
+    const auto* prepared = prepared_for(value);
+    if (!co_await lease->restore(values_, prepared, command_timeout))
+    {
+        request.excluded.push_back(lease->instance());
+        co_return std::nullopt;
+    }
+    // The position is taken again after the wait.
+    required = gateway.required_position(clock::now(), route_->max_staleness);
+    if (!required || !gateway.may_use_open(lease->instance(), clock::now()))
+    {
+        co_return std::nullopt;
+    }
+    if (own_writes)
+    {
+        required = std::max(*required, position_);
+    }
+    const auto answer = co_await lease->forward(
+        value.id, text_for(value), required, route_->statement_timeout);
+    if (!answer)
+    {
+        lease->close();
+        trace_.why = answer.error().code;
+        request.excluded.push_back(trace_.instance);
+        co_return std::nullopt;
+    }
+    switch (answer->code)
+    {
+    case reply_code::unknown_prepared:
+        lease->forget(*prepared);
+        co_return std::nullopt;
+    case reply_code::behind:
+    case reply_code::busy:
+        request.excluded.push_back(trace_.instance);
+        co_return std::nullopt;
+    default:
+        co_return *answer;
+    }
+}
+
+awaitable<std::optional<reply>> client_session::run_on_primary(
+    const statement& value, access_request& request)
+{
+    auto& gateway = front_.gateway(route_->service);
+    auto lease = co_await gateway.take_primary(request);
+    if (!lease)
+    {
+        trace_.why = lease.error().code;
+        co_return refuse(
+            refusal_code(lease.error().code), "the primary is not available");
+    }
+    trace_.instance = lease->instance();
+    const auto* prepared = prepared_for(value);
+    if (!co_await lease->restore(values_, prepared, command_timeout))
+    {
+        co_return std::nullopt;
+    }
+    if (!gateway.may_use_open(lease->instance(), clock::now()))
+    {
+        co_return std::nullopt;
+    }
+    const bool is_write = writes(value);
+    if (!is_write)
+    {
+        // Only the primary begins a transaction that may write, so the read
+        // cannot run on a member that was replaced.
+        const auto begun = co_await lease->run(
+            {.kind = command_kind::begin}, command_timeout);
+        if (!begun || !begun->ok())
+        {
+            if (!begun)
+            {
+                lease->close();
+            }
+            co_return std::nullopt;
+        }
+    }
+    const auto sent_at = clock::now();
+    const auto answer = co_await lease->forward(
+        value.id, text_for(value), std::nullopt, route_->statement_timeout);
+    if (!answer)
+    {
+        lease->close();
+        trace_.why = answer.error().code;
+        if (!is_write)
+        {
+            co_return std::nullopt;
+        }
+        co_return refuse(
+            answer.error().code == errc::reply_timeout ? reply_code::timeout
+                                                       : reply_code::in_doubt,
+            "no answer of the member");
+    }
+    if (answer->ok())
+    {
+        gateway.on_primary_proved(lease->instance(), sent_at, answer->position);
+        if (is_write)
+        {
+            note_position(answer->position);
+        }
+    }
+    if (!is_write)
+    {
+        lease->roll_back();
+    }
+    if (answer->code == reply_code::unknown_prepared && *lease)
+    {
+        lease->forget(*prepared);
+        co_return std::nullopt;
+    }
+    if (answer->code == reply_code::read_only ||
+        answer->code == reply_code::unknown_prepared)
+    {
+        co_return std::nullopt;
+    }
+    co_return *answer;
+}
+
+awaitable<std::optional<reply>>
+client_session::open_transaction(const statement& value)
+{
+    if (auto refusal = refuse_operation(trace_.started))
+    {
+        co_return refusal;
+    }
+    auto request = make_request(value);
+    const bool may_use_replica =
+        read_only_ && route_->consistency != read_consistency::latest;
+    while (trace_.attempts < max_attempts)
+    {
+        ++trace_.attempts;
+        auto failure = co_await begin_on_member(request, !may_use_replica);
+        if (failure || connection_)
+        {
+            co_return failure;
+        }
+    }
+    co_return refuse(reply_code::busy, "no member took the transaction");
+}
+
+awaitable<std::optional<reply>>
+client_session::begin_on_member(access_request& request, bool on_primary)
+{
+    auto& gateway = front_.gateway(route_->service);
+    std::optional<log_position> required;
+    if (!on_primary)
+    {
+        required =
+            gateway.required_position(clock::now(), route_->max_staleness);
+    }
+    const bool use_primary = !required;
+    if (required && route_->consistency == read_consistency::read_your_writes)
+    {
+        required = std::max(*required, position_);
+    }
+    auto lease = use_primary
+                     ? co_await gateway.take_primary(request)
+                     : co_await gateway.take_reader(request, *required);
+    if (!lease)
+    {
+        trace_.why = lease.error().code;
+        co_return refuse(
+            refusal_code(lease.error().code), "no member is available");
+    }
+    trace_.instance = lease->instance();
+    if (!gateway.may_use_open(lease->instance(), clock::now()))
+    {
+        co_return std::nullopt;
+    }
+    const auto sent_at = clock::now();
+    const auto begun = co_await lease->run(
+        {.kind = use_primary ? command_kind::begin
+                             : command_kind::begin_read_only,
+         .wait_for = required},
+        command_timeout);
+    if (!begun)
+    {
+        lease->close();
+        request.excluded.push_back(trace_.instance);
+        co_return std::nullopt;
+    }
+    if (!begun->ok())
+    {
+        request.excluded.push_back(trace_.instance);
+        co_return std::nullopt;
+    }
+    if (use_primary)
+    {
+        gateway.on_primary_proved(trace_.instance, sent_at, begun->position);
+    }
+    connection_ = std::move(*lease);
+    co_return std::nullopt;
+}
+
+awaitable<reply> client_session::run_in_transaction(const statement& value)
+{
+    if (!connection_)
+    {
+        if (auto refusal = co_await open_transaction(value))
+        {
+            state_ = transaction_state::failed;
+            co_return std::move(*refusal);
+        }
+    }
+    auto& gateway = front_.gateway(route_->service);
+    trace_.instance = connection_.instance();
+    if (!gateway.may_use_open(connection_.instance(), clock::now()) ||
+        front_.ends_transactions())
+    {
+        trace_.why = errc::draining;
+        co_return on_transaction_failure(error{errc::draining, {}}, false);
+    }
+    const bool is_commit = value.kind == statement_kind::commit;
+    const auto* prepared = is_commit ? nullptr : prepared_for(value);
+    const auto restored =
+        is_commit ? result<void>{}
+                  : co_await connection_.restore(
+                        values_, prepared, command_timeout);
+    if (!restored)
+    {
+        co_return on_transaction_failure(restored.error(), false);
+    }
+    const auto sent_at = clock::now();
+    const auto answer = co_await connection_.forward(
+        value.id, text_for(value), std::nullopt, route_->statement_timeout);
+    if (!answer)
+    {
+        co_return on_transaction_failure(answer.error(), is_commit);
+    }
+    if (answer->ok() && !read_only_ && !is_commit)
+    {
+        gateway.on_primary_proved(trace_.instance, sent_at, answer->position);
+    }
+    if (answer->ok() && is_commit && transaction_wrote_)
+    {
+        note_position(answer->position);
+    }
+    transaction_wrote_ = transaction_wrote_ || (!is_commit && writes(value));
+    if (!is_commit && answer->state != transaction_state::open)
+    {
+        state_ = transaction_state::failed;
+    }
+    co_return *answer;
+}
+
+reply client_session::on_transaction_failure(
+    const error& failure, bool was_commit)
+{
+    trace_.why = failure.code;
+    connection_.close();
+    state_ = transaction_state::failed;
+    if (was_commit && transaction_wrote_)
+    {
+        return refuse(
+            failure.code == errc::reply_timeout ? reply_code::timeout
+                                                : reply_code::in_doubt,
+            "no answer to the commit");
+    }
+    // A member rolls back when the connection ends before the commit.
+    return refuse(reply_code::aborted, "the transaction was rolled back");
+}
+
+void client_session::abandon_transaction()
+{
+    if (connection_)
+    {
+        connection_.roll_back();
+    }
+}
+
+bool client_session::writes(const statement& value) const
+{
+    if (value.kind == statement_kind::execute)
+    {
+        const auto* prepared = prepared_for(value);
+        return prepared != nullptr && prepared->writes;
+    }
+    return value.kind == statement_kind::write;
+}
+
+const prepared_statement*
+client_session::prepared_for(const statement& value) const
+{
+    if (value.kind != statement_kind::execute)
+    {
+        return nullptr;
+    }
+    const auto found = values_.prepared.find(value.name);
+    return found == values_.prepared.end() ? nullptr : &found->second;
+}
+
+std::string client_session::text_for(const statement& value) const
+{
+    const auto* prepared = prepared_for(value);
+    if (prepared == nullptr)
+    {
+        return value.text;
+    }
+    // Only the name of the prepared statement changes.
+    const auto at = value.text.find(value.name, value.text.find(' '));
+    auto text = value.text;
+    text.replace(at, value.name.size(), shared_name(*prepared));
+    return text;
+}
+
+void client_session::note_position(const std::optional<log_position>& position)
+{
+    if (position)
+    {
+        position_ = std::max(position_, *position);
+    }
+}
+
+reply client_session::refuse(reply_code code, std::string text)
+{
+    return {.code = code, .text = std::move(text)};
+}
+
+void client_session::record(const statement& value, const reply& answer)
+{
+    const auto now = clock::now();
+    const auto latency = now - trace_.started;
+    auto& numbers = front_.numbers();
+    ++numbers.counter_of(
+        "zinniahub_replies_total{code=\"" +
+        std::string(to_string(answer.code)) + "\"}");
+    if (!route_ || trace_.attempts == 0)
+    {
+        if (answer.ok())
+        {
+            return;
+        }
+    }
+    const bool late = route_ && latency > route_->target_latency;
+    if (answer.ok() && !late && trace_.attempts <= logged_attempts)
+    {
+        return;
+    }
+    const auto& configuration = front_.configuration();
+    front_.events().write(
+        answer.ok() ? (late ? "reply_late" : "reply_retried") : "reply_failed",
+        {{"id", value.id},
+         {"database", database_},
+         {"customer", customer_},
+         {"code", to_string(answer.code)},
+         {"why", answer.ok() ? "" : to_string(trace_.why)},
+         {"instance", trace_.instance},
+         {"attempts", trace_.attempts},
+         {"took_ms", to_seconds(latency) * 1000},
+         {"configuration", configuration ? configuration->version : 0},
+         {"text", answer.text}});
+}
+
+} // namespace zinniahub::pooling
--- /dev/null
+++ b/src/pooling/client_session.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "pooling/front.hpp"
+#include "pooling/ports.hpp"
+
+#include <zinniahub/session_values.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace zinniahub::pooling
+{
+
+/// @brief Session of one client.
+///
+/// Values and prepared statements are kept here and restored on whichever
+/// pooled connection runs the next statement. A transaction keeps one
+/// connection from its first statement to its end.
+class client_session : public session_entry
+{
+public:
+    client_session(
+        front& owner, std::shared_ptr<client_stream> stream, std::string database,
+        std::string customer, std::string key);
+
+    /// @brief Serves the client until it leaves.
+    awaitable<void> run();
+
+    bool is_idle() const override
+    {
+        return !busy_ && state_ == transaction_state::none;
+    }
+    bool rests_in_transaction() const override
+    {
+        return !busy_ && state_ != transaction_state::none;
+    }
+    void interrupt() override
+    {
+        stream_->interrupt();
+    }
+
+private:
+    /// Facts of one operation that its log line needs.
+    struct trace
+    {
+        time_point started;
+        std::string instance;
+        unsigned attempts = 0;
+        errc why = errc::request_invalid;
+    };
+
+    awaitable<bool> wait_and_serve();
+    awaitable<reply> handle(const statement& value);
+    reply set_session_value(const statement& value);
+    reply prepare(const statement& value);
+    reply deallocate(const statement& value);
+    reply begin(const statement& value);
+    awaitable<reply> end_transaction(const statement& value);
+    awaitable<reply> run_data_statement(const statement& value);
+
+    /// Checks the configuration in force, the key and the rate.
+    std::optional<reply> refuse_operation(time_point now);
+    awaitable<reply> run_single(const statement& value);
+    awaitable<std::optional<reply>> read_on_member(
+        const statement& value, access_request& request,
+        std::optional<log_position>& required);
+    awaitable<std::optional<reply>>
+    run_on_primary(const statement& value, access_request& request);
+    awaitable<reply> run_in_transaction(const statement& value);
+    awaitable<std::optional<reply>> open_transaction(const statement& value);
+    awaitable<std::optional<reply>>
+    begin_on_member(access_request& request, bool on_primary);
+    reply on_transaction_failure(const error& failure, bool was_commit);
+    void abandon_transaction();
+
+    access_request make_request(const statement& value) const;
+    const prepared_statement* prepared_for(const statement& value) const;
+    std::string text_for(const statement& value) const;
+    bool writes(const statement& value) const;
+    void note_position(const std::optional<log_position>& position);
+    reply refuse(reply_code code, std::string text);
+    void record(const statement& value, const reply& answer);
+
+    front& front_;
+    std::shared_ptr<client_stream> stream_;
+    std::string database_;
+    std::string customer_;
+    std::string key_;
+    session_values values_;
+    bool busy_ = false;
+
+    transaction_state state_ = transaction_state::none;
+    bool read_only_ = false;
+    bool transaction_wrote_ = false;
+    connection_lease connection_;
+    /// Route of the open transaction or of the running operation.
+    std::optional<route> route_;
+    /// Latest position of the session's commits.
+    log_position position_;
+    trace trace_;
+};
+
+} // namespace zinniahub::pooling
--- /dev/null
+++ b/src/pooling/front.cpp
@@ -0,0 +1,127 @@
+#include "pooling/front.hpp"
+
+#include "pooling/client_session.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <vector>
+
+namespace zinniahub::pooling
+{
+
+namespace asio = boost::asio;
+
+front::front(
+    asio::io_context& io, member_connector& connector,
+    const upstream_directory& directory, admission& rates,
+    log::event_log& events, metrics::registry& numbers)
+    : io_(io)
+    , connector_(connector)
+    , directory_(directory)
+    , rates_(rates)
+    , events_(events)
+    , numbers_(numbers)
+{
+}
+
+front::~front() = default;
+
+void front::on_configuration(configuration_ptr configuration)
+{
+    if (configuration_ != nullptr &&
+        configuration->version <= configuration_->version)
+    {
+        return;
+    }
+    events_.write(
+        "configuration_applied",
+        {{"version", configuration->version},
+         {"routes", configuration->routes.size()},
+         {"services", configuration->services.size()},
+         {"customers", configuration->customers.size()},
+         {"unreadable", configuration->unreadable}});
+    configuration_ = std::move(configuration);
+    on_hosts(hosts_);
+}
+
+void front::on_hosts(std::size_t hosts)
+{
+    hosts_ = hosts;
+    if (configuration_ == nullptr)
+    {
+        return;
+    }
+    for (const auto& [name, definition] : configuration_->services)
+    {
+        gateway(name).set_definition(definition, hosts_);
+    }
+}
+
+service_gateway& front::gateway(const std::string& service)
+{
+    auto& found = gateways_[service];
+    if (found == nullptr)
+    {
+        found = std::make_unique<service_gateway>(
+            io_, connector_, directory_, service_definition{service}, events_);
+    }
+    return *found;
+}
+
+std::string
+front::customer_of(const route& where, std::string_view key) const
+{
+    const auto* customer = configuration_->keys.customer_of(key);
+    if (customer != nullptr)
+    {
+        return *customer;
+    }
+    return where.is_public ? "public" : std::string{};
+}
+
+void front::serve(
+    std::shared_ptr<client_stream> stream, const route& where,
+    std::string customer, std::string key)
+{
+    auto session = std::make_shared<client_session>(
+        *this, std::move(stream), where.database, std::move(customer),
+        std::move(key));
+    sessions_.push_back(*session);
+    asio::co_spawn(
+        io_, session->run(), [session](const std::exception_ptr&) {});
+}
+
+void front::close_idle_sessions()
+{
+    closing_ = true;
+    for (auto& session : sessions_)
+    {
+        if (session.is_idle())
+        {
+            session.interrupt();
+        }
+    }
+}
+
+void front::end_transactions()
+{
+    ending_transactions_ = true;
+    for (auto& session : sessions_)
+    {
+        if (session.rests_in_transaction())
+        {
+            session.interrupt();
+        }
+    }
+}
+
+void front::on_tick()
+{
+    for (auto& [name, entry] : gateways_)
+    {
+        entry->on_tick();
+    }
+}
+
+} // namespace zinniahub::pooling
--- /dev/null
+++ b/src/pooling/member_pool.cpp
@@ -0,0 +1,164 @@
+#include "pooling/member_pool.hpp"
+
+#include <algorithm>
+
+namespace zinniahub::pooling
+{
+
+namespace
+{
+
+/// Time for which a member that failed is left alone; it doubles.
+constexpr duration first_suspicion = std::chrono::milliseconds(100);
+constexpr duration longest_suspicion = std::chrono::milliseconds(400);
+
+/// Time for which no connection beyond the own share is opened after the
+/// member refused one.
+constexpr duration refusal_pause = std::chrono::milliseconds(500);
+
+/// Idle time after which a connection beyond the own share is closed.
+constexpr duration surplus_idle = std::chrono::seconds(2);
+
+/// Time for which a member that lacked a position is not asked for one.
+constexpr duration behind_pause = std::chrono::milliseconds(100);
+
+/// Time for which a member that refused a write is not taken for the primary.
+constexpr duration not_primary_pause = std::chrono::milliseconds(250);
+
+} // namespace
+
+member_pool::availability
+member_pool::availability_for(std::string_view customer, time_point now) const
+{
+    const bool has_idle = std::any_of(
+        idle_.begin(), idle_.end(), [customer](const pooled_ptr& entry)
+        { return entry->customer == customer; });
+    if (has_idle)
+    {
+        return availability::idle;
+    }
+    const auto total = open();
+    const bool beyond_share = total >= limits_.own_share;
+    const bool refused_lately =
+        refused_at_ != time_point::min() && now - refused_at_ < refusal_pause;
+    if (!beyond_share || (total < limits_.member_limit && !refused_lately &&
+                          idle_.empty()))
+    {
+        return availability::open;
+    }
+    return idle_.empty() ? availability::none : availability::replace;
+}
+
+pooled_ptr member_pool::take_idle(
+    std::string_view customer, const session_values& session)
+{
+    auto best = idle_.end();
+    for (auto entry = idle_.begin(); entry != idle_.end(); ++entry)
+    {
+        if ((*entry)->customer != customer)
+        {
+            continue;
+        }
+        best = entry;
+        if ((*entry)->values.matches(session))
+        {
+            break;
+        }
+    }
+    if (best == idle_.end())
+    {
+        return nullptr;
+    }
+    auto taken = std::move(*best);
+    idle_.erase(best);
+    ++in_use_;
+    return taken;
+}
+
+void member_pool::close_oldest_idle()
+{
+    if (!idle_.empty())
+    {
+        idle_.back()->link->close();
+        idle_.pop_back();
+    }
+}
+
+void member_pool::close_surplus(time_point now)
+{
+    while (!idle_.empty() && open() > limits_.own_share &&
+           now - idle_.back()->idle_since > surplus_idle)
+    {
+        close_oldest_idle();
+    }
+}
+
+void member_pool::close_all_idle()
+{
+    while (!idle_.empty())
+    {
+        close_oldest_idle();
+    }
+}
+
+void member_pool::on_opened()
+{
+    suspect_time_ = duration::zero();
+    suspect_until_ = time_point::min();
+}
+
+void member_pool::on_open_failed(const connect_failure& failure, time_point now)
+{
+    --in_use_;
+    if (failure.why == connect_failure::reason::rejected &&
+        (failure.code == reply_code::too_many ||
+         failure.code == reply_code::busy))
+    {
+        refused_at_ = now;
+        return;
+    }
+    suspect(now);
+}
+
+void member_pool::suspect(time_point now)
+{
+    suspect_time_ = std::clamp<duration>(
+        2 * suspect_time_, first_suspicion, longest_suspicion);
+    suspect_until_ = now + suspect_time_;
+}
+
+void member_pool::put_back(pooled_ptr connection, time_point now)
+{
+    --in_use_;
+    if (!connection->link->is_open())
+    {
+        return;
+    }
+    connection->idle_since = now;
+    idle_.push_front(std::move(connection));
+}
+
+void member_pool::on_call_failed(errc, time_point now)
+{
+    suspect(now);
+    // Connections to a member that failed are broken or silent as well.
+    close_all_idle();
+}
+
+void member_pool::on_answer(const reply& value, time_point now)
+{
+    if (value.position)
+    {
+        position_ = *value.position;
+    }
+    if (value.code == reply_code::behind)
+    {
+        behind_until_ = now + behind_pause;
+    }
+    else if (value.code == reply_code::read_only)
+    {
+        not_primary_until_ = now + not_primary_pause;
+    }
+}
+
+} // namespace zinniahub::pooling
--- /dev/null
+++ b/src/pooling/member_pool.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "pooling/ports.hpp"
+
+#include <zinniahub/session_values.hpp>
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace zinniahub::pooling
+{
+
+/// @brief A connection that transactions of different sessions use in turn.
+struct pooled_connection
+{
+    std::unique_ptr<member_connection> link;
+    connection_values values;
+    std::string customer;
+    time_point idle_since{};
+};
+
+using pooled_ptr = std::unique_ptr<pooled_connection>;
+
+/// @brief Connections of this host to one member, and what the host has seen
+/// of it.
+///
+/// A member knows each connection's customer, so a connection serves the
+/// sessions of one customer only.
+class member_pool
+{
+public:
+    struct limits
+    {
+        /// Connections that this host may always open.
+        std::uint32_t own_share = 1;
+        /// Connections that the member accepts from all hosts.
+        std::uint32_t member_limit = 1;
+    };
+
+    /// @brief What a caller gets that asks for a connection.
+    enum class availability
+    {
+        /// An idle connection of the customer.
+        idle,
+        /// A connection may be opened.
+        open,
+        /// An idle connection of another customer has to be closed first.
+        replace,
+        none
+    };
+
+    void set_limits(limits values)
+    {
+        limits_ = values;
+    }
+
+    availability
+    availability_for(std::string_view customer, time_point now) const;
+
+    /// @brief Takes an idle connection, one that holds the session's values if
+    /// there is one.
+    pooled_ptr
+    take_idle(std::string_view customer, const session_values& session);
+
+    /// @brief Closes the connection that has been idle longest.
+    void close_oldest_idle();
+
+    /// @brief Closes connections that are not used and beyond this host's
+    /// share, or idle for long.
+    void close_surplus(time_point now);
+    void close_all_idle();
+
+    /// @brief A connection is being opened.
+    void on_opening()
+    {
+        ++in_use_;
+    }
+    void on_open_failed(const connect_failure& failure, time_point now);
+    void on_opened();
+
+    /// @brief Takes a connection back; a broken one is dropped.
+    void put_back(pooled_ptr connection, time_point now);
+
+    /// @brief A call on a connection failed.
+    void on_call_failed(errc code, time_point now);
+    /// @brief The member answered.
+    void on_answer(const reply& value, time_point now);
+
+    /// @brief True while the member is not to be used because it failed.
+    bool is_suspect(time_point now) const
+    {
+        return now < suspect_until_;
+    }
+    /// @brief True after the member lacked a position.
+    bool is_behind(time_point now) const
+    {
+        return now < behind_until_;
+    }
+    /// @brief True after the member said that it is not the primary.
+    bool denied_primary(time_point now) const
+    {
+        return now < not_primary_until_;
+    }
+
+    std::uint32_t in_use() const
+    {
+        return in_use_;
+    }
+    std::size_t open() const
+    {
+        return idle_.size() + in_use_;
+    }
+    /// @brief Last position that the member reported.
+    log_position position() const
+    {
+        return position_;
+    }
+
+private:
+    void suspect(time_point now);
+
+    limits limits_;
+    std::list<pooled_ptr> idle_;
+    /// Connections in use and being opened.
+    std::uint32_t in_use_ = 0;
+    time_point refused_at_ = time_point::min();
+    time_point suspect_until_ = time_point::min();
+    duration suspect_time_{};
+    time_point behind_until_ = time_point::min();
+    time_point not_primary_until_ = time_point::min();
+    log_position position_;
+};
+
+} // namespace zinniahub::pooling
--- /dev/null
+++ b/src/pooling/ports.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "pooling/messages.hpp"
+
+#include <zinniahub/error.hpp>
+#include <zinniahub/time.hpp>
+
+// Boost 1.74 uses std::exchange in awaitable.hpp without its header.
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace zinniahub::pooling
+{
+
+template<typename T>
+using awaitable = boost::asio::awaitable<T>;
+
+/// @brief One connection to a member. At most one call is in progress.
+///
+/// A failed call leaves the connection unusable: `errc::connection_lost` if it
+/// broke, `errc::reply_timeout` if the member was silent.
+class member_connection
+{
+public:
+    virtual ~member_connection() = default;
+
+    /// @brief Forwards a client's statement under its id.
+    /// @param text the client's text, or one that differs in the name of a
+    /// prepared statement only
+    /// @param wait_for the member refuses if its log lacks this position
+    virtual awaitable<result<reply>> forward(
+        std::string_view id, std::string_view text,
+        std::optional<log_position> wait_for, duration timeout) = 0;
+
+    /// @brief Runs a command of the proxy itself.
+    virtual awaitable<result<reply>>
+    run(const command& value, duration timeout) = 0;
+
+    /// @brief True until the connection broke or was closed.
+    virtual bool is_open() const = 0;
+
+    /// @brief Closes the connection; the member rolls back.
+    virtual void close() = 0;
+};
+
+/// @brief Whom to connect to.
+struct member_address
+{
+    std::string service;
+    std::string address;
+    /// The member refuses if it is another instance.
+    std::string instance;
+    /// Customer in whose name statements run.
+    std::string customer;
+};
+
+/// @brief A connection attempt that the member or the network refused.
+struct connect_failure
+{
+    enum class reason
+    {
+        /// Nobody listens at the address.
+        refused,
+        silent,
+        lost,
+        /// The member answered with `code`.
+        rejected
+    };
+    reason why = reason::lost;
+    reply_code code = reply_code::none;
+};
+
+using connect_result =
+    tl::expected<std::unique_ptr<member_connection>, connect_failure>;
+
+class member_connector
+{
+public:
+    virtual ~member_connector() = default;
+    virtual awaitable<connect_result>
+    connect(const member_address& target, duration timeout) = 0;
+};
+
+/// @brief One client's connection as its session sees it.
+class client_stream
+{
+public:
+    virtual ~client_stream() = default;
+
+    /// @brief Waits for the next statement.
+    /// @return `errc::connection_lost` when the client has gone,
+    /// `errc::wait_timeout` after `timeout`, `errc::request_invalid` for input
+    /// that is no message, `errc::statement_too_large` for an oversize one
+    virtual awaitable<result<statement>> next(duration timeout) = 0;
+
+    /// @brief Sends a complete reply.
+    /// @return false if the client has gone
+    virtual awaitable<bool> send(const reply& value) = 0;
+
+    /// @brief Ends a wait in `next` with `errc::draining`; without a wait, the
+    /// next call of `next` returns it.
+    virtual void interrupt() = 0;
+
+    virtual void close() = 0;
+};
+
+} // namespace zinniahub::pooling
--- /dev/null
+++ b/src/pooling/service_gateway.cpp
@@ -0,0 +1,633 @@
+#include "pooling/service_gateway.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace zinniahub::pooling
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// A member in the same region that does not answer a connection attempt in
+/// this time is down or cut off.
+constexpr duration connect_timeout = std::chrono::milliseconds(400);
+
+/// Commands that take no slot are answered in a round trip.
+constexpr duration command_timeout = std::chrono::milliseconds(500);
+
+/// Part of the staleness bound left for the way of a read to the member.
+constexpr duration staleness_margin = std::chrono::milliseconds(200);
+
+/// Age of the newest sample at which another one is taken.
+constexpr duration sample_interval = std::chrono::milliseconds(300);
+
+/// Pause between attempts while no member is usable.
+constexpr duration retry_pause = std::chrono::milliseconds(40);
+
+constexpr auto max_waiting = std::size_t{2048};
+
+} // namespace
+
+connection_lease::connection_lease(
+    service_gateway& gateway, std::string instance, pooled_ptr connection)
+    : gateway_(&gateway)
+    , instance_(std::move(instance))
+    , connection_(std::move(connection))
+{
+}
+
+connection_lease::connection_lease(connection_lease&& other) noexcept
+    : gateway_(other.gateway_)
+    , instance_(std::move(other.instance_))
+    , connection_(std::move(other.connection_))
+{
+}
+
+connection_lease& connection_lease::operator=(connection_lease&& other) noexcept
+{
+    if (this != &other)
+    {
+        reset();
+        gateway_ = other.gateway_;
+        instance_ = std::move(other.instance_);
+        connection_ = std::move(other.connection_);
+    }
+    return *this;
+}
+
+connection_lease::~connection_lease()
+{
+    reset();
+}
+
+void connection_lease::reset()
+{
+    if (connection_ != nullptr)
+    {
+        gateway_->give_back(instance_, std::move(connection_));
+    }
+}
+
+void connection_lease::close()
+{
+    if (connection_ != nullptr)
+    {
+        connection_->link->close();
+        reset();
+    }
+}
+
+void connection_lease::forget(const prepared_statement& statement)
+{
+    connection_->values.on_unknown(statement);
+}
+
+void connection_lease::note(const result<reply>& answer)
+{
+    auto& pool = gateway_->pool_of(instance_);
+    if (answer)
+    {
+        pool.on_answer(*answer, clock::now());
+    }
+    else
+    {
+        pool.on_call_failed(answer.error().code, clock::now());
+    }
+}
+
+awaitable<result<reply>> connection_lease::forward(
+    std::string_view id, std::string_view text,
+    std::optional<log_position> wait_for, duration timeout)
+{
+    auto answer =
+        co_await connection_->link->forward(id, text, wait_for, timeout);
+    note(answer);
+    co_return answer;
+}
+
+awaitable<result<reply>>
+connection_lease::run(const command& value, duration timeout)
+{
+    auto answer = co_await connection_->link->run(value, timeout);
+    note(answer);
+    co_return answer;
+}
+
+awaitable<result<void>> connection_lease::restore(
+    const session_values& session, const prepared_statement* needed,
+    duration timeout)
+{
+    const auto steps = connection_->values.plan(session, needed);
+    if (steps.empty())
+    {
+        co_return result<void>{};
+    }
+    // A failed step leaves unknown values behind, so the connection is closed.
+    const auto check = [this](const result<reply>& answer)
+    {
+        if (answer && answer->ok())
+        {
+            return true;
+        }
+        connection_->link->close();
+        return false;
+    };
+    if (steps.discard)
+    {
+        const auto answer =
+            co_await run({.kind = command_kind::discard}, timeout);
+        if (!check(answer))
+        {
+            co_return fail(errc::connection_lost, "discard");
+        }
+        connection_->values.on_discarded();
+    }
+    for (const auto& [name, value] : steps.set)
+    {
+        const auto answer = co_await run(
+            {.kind = command_kind::set_value, .name = name, .argument = value},
+            timeout);
+        if (!check(answer))
+        {
+            co_return fail(errc::connection_lost, "set value");
+        }
+        connection_->values.on_set(name, value);
+    }
+    for (const auto& statement : steps.prepare)
+    {
+        const auto name = shared_name(statement);
+        const auto answer = co_await run(
+            {.kind = statement.writes ? command_kind::prepare_write
+                                      : command_kind::prepare_read,
+             .name = name,
+             .argument = statement.shape},
+            timeout);
+        if (!check(answer))
+        {
+            co_return fail(errc::connection_lost, "prepare");
+        }
+        connection_->values.on_prepared(statement);
+    }
+    co_return result<void>{};
+}
+
+void connection_lease::roll_back()
+{
+    if (connection_ == nullptr)
+    {
+        return;
+    }
+    auto& gateway = *gateway_;
+    asio::co_spawn(
+        gateway.io_, gateway.roll_back(std::move(*this)), asio::detached);
+}
+
+service_gateway::service_gateway(
+    asio::io_context& io, member_connector& connector,
+    const upstream_directory& directory, service_definition definition,
+    log::event_log& events)
+    : io_(io)
+    , connector_(connector)
+    , directory_(directory)
+    , definition_(std::move(definition))
+    , events_(events)
+{
+}
+
+void service_gateway::set_definition(
+    service_definition definition, std::size_t hosts)
+{
+    definition_ = std::move(definition);
+    hosts_ = std::max<std::size_t>(hosts, 1);
+    for (auto& [instance, pool] : pools_)
+    {
+        pool.set_limits(
+            {std::max<std::uint32_t>(
+                 definition_.max_connections /
+                     static_cast<std::uint32_t>(hosts_),
+                 1),
+             definition_.max_connections});
+    }
+}
+
+member_pool& service_gateway::pool_of(const std::string& instance)
+{
+    const auto found = pools_.find(instance);
+    if (found != pools_.end())
+    {
+        return found->second;
+    }
+    auto& pool = pools_[instance];
+    pool.set_limits(
+        {std::max<std::uint32_t>(
+             definition_.max_connections / static_cast<std::uint32_t>(hosts_),
+             1),
+         definition_.max_connections});
+    return pool;
+}
+
+const upstream_state*
+service_gateway::member_of(std::string_view instance) const
+{
+    const auto found = directory_.members().find(instance);
+    return found == directory_.members().end() ? nullptr : &found->second;
+}
+
+bool service_gateway::may_use_open(
+    std::string_view instance, time_point now) const
+{
+    const auto* member = member_of(instance);
+    return member != nullptr && directory_.accepts_open(*member, now);
+}
+
+std::vector<const upstream_state*>
+service_gateway::primary_candidates(time_point now) const
+{
+    // Order: proved primary, registered primaries by the time they became it,
+    // then any member, in case the registrations are out of date.
+    std::vector<std::pair<std::tuple<int, time_point>, const upstream_state*>>
+        ranked;
+    for (const auto& [instance, member] : directory_.members())
+    {
+        if (member.record.service != definition_.name ||
+            !directory_.accepts_open(member, now))
+        {
+            continue;
+        }
+        const auto pool = pools_.find(instance);
+        const bool denied =
+            pool != pools_.end() && pool->second.denied_primary(now);
+        const bool suspect =
+            pool != pools_.end() && pool->second.is_suspect(now);
+        if (denied || suspect)
+        {
+            continue;
+        }
+        const bool registered = member.primary_since != time_point::min();
+        int rank = 0;
+        if (instance == primary_ && primary_proved_at_ > member.primary_since)
+        {
+            rank = 3;
+        }
+        else if (registered)
+        {
+            rank = member.primary_since > primary_proved_at_ ? 4 : 2;
+        }
+        ranked.push_back({{rank, member.primary_since}, &member});
+    }
+    std::sort(
+        ranked.begin(), ranked.end(), [](const auto& left, const auto& right)
+        { return left.first > right.first; });
+    std::vector<const upstream_state*> members;
+    members.reserve(ranked.size());
+    for (const auto& [rank, member] : ranked)
+    {
+        members.push_back(member);
+    }
+    return members;
+}
+
+std::vector<const upstream_state*> service_gateway::read_candidates(
+    const access_request& request, log_position position, time_point now) const
+{
+    struct candidate
+    {
+        std::tuple<bool, bool, int, std::uint32_t, std::uint64_t> cost;
+        const upstream_state* member;
+    };
+    std::vector<candidate> ranked;
+    std::uint64_t turn = ticket_;
+    for (const auto& [instance, member] : directory_.members())
+    {
+        if (member.record.service != definition_.name ||
+            !directory_.accepts_new(member, now))
+        {
+            continue;
+        }
+        ++turn;
+        const auto found = pools_.find(instance);
+        if (found == pools_.end())
+        {
+            ranked.push_back({{false, false, 1, 0, turn % 3}, &member});
+            continue;
+        }
+        const auto& pool = found->second;
+        if (pool.is_suspect(now))
+        {
+            continue;
+        }
+        const bool primary = instance == primary_;
+        const bool behind =
+            !primary && pool.is_behind(now) && pool.position() < position;
+        const auto access = pool.availability_for(request.customer, now);
+        const auto excluded = std::find(
+                                  request.excluded.begin(),
+                                  request.excluded.end(),
+                                  instance) != request.excluded.end();
+        ranked.push_back(
+            {{excluded, behind, static_cast<int>(access),
+              2 * pool.in_use() + (primary ? 1U : 0U), turn % 3},
+             &member});
+    }
+    std::sort(
+        ranked.begin(), ranked.end(),
+        [](const candidate& left, const candidate& right)
+        { return left.cost < right.cost; });
+    std::vector<const upstream_state*> members;
+    members.reserve(ranked.size());
+    for (const auto& entry : ranked)
+    {
+        members.push_back(entry.member);
+    }
+    return members;
+}
+
+awaitable<result<connection_lease>>
+service_gateway::take_primary(access_request& request)
+{
+    return take(request, purpose::primary, {});
+}
+
+awaitable<result<connection_lease>>
+service_gateway::take_reader(access_request& request, log_position position)
+{
+    return take(request, purpose::read, position);
+}
+
+awaitable<result<connection_lease>> service_gateway::take(
+    access_request& request, purpose use, log_position position)
+{
+    last_customer_ = request.customer;
+    while (true)
+    {
+        const auto now = clock::now();
+        ++ticket_;
+        auto members = use == purpose::primary
+                           ? primary_candidates(now)
+                           : read_candidates(request, position, now);
+        const bool usable = !members.empty();
+        if (use == purpose::primary && members.size() > 1)
+        {
+            members.resize(1);
+        }
+        for (const auto* member : members)
+        {
+            auto& pool = pool_of(member->record.instance);
+            const auto access = pool.availability_for(request.customer, now);
+            if (access == member_pool::availability::none)
+            {
+                continue;
+            }
+            if (access == member_pool::availability::idle)
+            {
+                co_return connection_lease(
+                    *this, member->record.instance,
+                    pool.take_idle(request.customer, *request.session));
+            }
+            if (access == member_pool::availability::replace)
+            {
+                pool.close_oldest_idle();
+            }
+            auto lease =
+                co_await connect(*member, std::string(request.customer));
+            if (lease)
+            {
+                co_return std::move(*lease);
+            }
+            break;
+        }
+        const auto until =
+            usable ? request.wait_until : request.wait_until_down;
+        if (!co_await wait_for_release(request, use, until))
+        {
+            co_return fail(
+                usable ? errc::queue_full
+                       : (use == purpose::primary ? errc::no_primary
+                                                  : errc::no_fresh_replica));
+        }
+    }
+}
+
+awaitable<result<connection_lease>>
+service_gateway::connect(const upstream_state& member, std::string customer)
+{
+    const std::string instance = member.record.instance;
+    const member_address target{
+        definition_.name, member.record.address, instance, customer};
+    pool_of(instance).on_opening();
+    ++opened_;
+    auto link = co_await connector_.connect(target, connect_timeout);
+    auto& pool = pool_of(instance);
+    if (!link)
+    {
+        pool.on_open_failed(link.error(), clock::now());
+        events_.write(
+            "member_connect_failed",
+            {{"service", definition_.name},
+             {"instance", instance},
+             {"reason", static_cast<int>(link.error().why)},
+             {"code", to_string(link.error().code)}});
+        co_return fail(errc::member_unreachable, instance);
+    }
+    pool.on_opened();
+    auto connection = std::make_unique<pooled_connection>();
+    connection->link = std::move(*link);
+    connection->customer = std::move(customer);
+    co_return connection_lease(*this, instance, std::move(connection));
+}
+
+awaitable<bool> service_gateway::wait_for_release(
+    const access_request& request, purpose use, time_point until)
+{
+    const auto now = clock::now();
+    if (now >= until)
+    {
+        co_return false;
+    }
+    auto& queues = use == purpose::primary ? primary_waiters_ : read_waiters_;
+    auto& queue = queues[request.priority];
+    if (queue == nullptr)
+    {
+        queue = std::make_unique<fair_queue>(
+            fair_queue::settings{max_waiting, max_waiting});
+    }
+    waiter entry(io_);
+    entry.deadline = until;
+    if (!queue->push(request.customer, 1, entry))
+    {
+        co_return false;
+    }
+    // Members recover and registrations change without a release.
+    entry.timer.expires_after(std::min<duration>(until - now, retry_pause));
+    boost::system::error_code ignored;
+    co_await entry.timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    if (!entry.woken)
+    {
+        queue->erase(entry);
+    }
+    co_return true;
+}
+
+void service_gateway::wake(queue_map& queues)
+{
+    for (auto& [priority, queue] : queues)
+    {
+        auto* entry = queue->pop();
+        if (entry != nullptr)
+        {
+            auto& woken = static_cast<waiter&>(*entry);
+            woken.woken = true;
+            woken.timer.cancel();
+            return;
+        }
+    }
+}
+
+void service_gateway::give_back(
+    const std::string& instance, pooled_ptr connection)
+{
+    const auto now = clock::now();
+    auto& pool = pool_of(instance);
+    pool.put_back(std::move(connection), now);
+    const auto* member = member_of(instance);
+    if (member == nullptr || !directory_.accepts_new(*member, now))
+    {
+        // The primary stays in use until another one leads.
+        if (instance != primary_ || member == nullptr ||
+            !directory_.accepts_open(*member, now))
+        {
+            pool.close_all_idle();
+        }
+    }
+    if (instance == primary_)
+    {
+        wake(primary_waiters_);
+    }
+    wake(read_waiters_);
+}
+
+awaitable<void> service_gateway::roll_back(connection_lease lease)
+{
+    const auto answer =
+        co_await lease.run({.kind = command_kind::rollback}, command_timeout);
+    if (!answer || answer->state != transaction_state::none)
+    {
+        lease.close();
+    }
+}
+
+std::optional<log_position>
+service_gateway::required_position(time_point now, duration max_staleness)
+{
+    if (now - sample_interval > samples_.newest())
+    {
+        start_sampling();
+    }
+    return samples_.required(now, max_staleness - staleness_margin);
+}
+
+void service_gateway::on_primary_proved(
+    std::string_view instance, time_point sent_at,
+    std::optional<log_position> position)
+{
+    if (position)
+    {
+        samples_.add(sent_at, *position);
+    }
+    if (instance != primary_)
+    {
+        events_.write(
+            "primary_changed", {{"service", definition_.name},
+                                {"from", primary_},
+                                {"to", instance}});
+        primary_ = instance;
+    }
+    primary_proved_at_ = std::max(primary_proved_at_, sent_at);
+}
+
+void service_gateway::start_sampling()
+{
+    if (!sampling_ && !last_customer_.empty())
+    {
+        sampling_ = true;
+        asio::co_spawn(io_, sample(), asio::detached);
+    }
+}
+
+awaitable<void> service_gateway::sample()
+{
+    const std::string customer = last_customer_;
+    const session_values session;
+    access_request request;
+    request.customer = customer;
+    request.session = &session;
+    request.wait_until = clock::now() + sample_interval;
+    request.wait_until_down = request.wait_until;
+    auto lease = co_await take_primary(request);
+    if (lease)
+    {
+        const auto sent_at = clock::now();
+        const auto answer =
+            co_await lease->run({.kind = command_kind::begin}, command_timeout);
+        if (answer && answer->ok())
+        {
+            on_primary_proved(lease->instance(), sent_at, answer->position);
+            lease->roll_back();
+        }
+    }
+    sampling_ = false;
+}
+
+void service_gateway::on_tick()
+{
+    const auto now = clock::now();
+    for (auto entry = pools_.begin(); entry != pools_.end();)
+    {
+        const auto* member = member_of(entry->first);
+        auto& pool = entry->second;
+        if (member == nullptr || !directory_.accepts_open(*member, now))
+        {
+            pool.close_all_idle();
+        }
+        else
+        {
+            pool.close_surplus(now);
+        }
+        entry = member == nullptr && pool.open() == 0 ? pools_.erase(entry)
+                                                      : std::next(entry);
+    }
+}
+
+std::vector<service_gateway::member_numbers> service_gateway::numbers() const
+{
+    std::vector<member_numbers> all;
+    for (const auto& [instance, pool] : pools_)
+    {
+        all.push_back({instance, pool.in_use(), pool.open()});
+    }
+    return all;
+}
+
+std::size_t service_gateway::waiting() const
+{
+    std::size_t total = 0;
+    for (const auto* queues : {&primary_waiters_, &read_waiters_})
+    {
+        for (const auto& [priority, queue] : *queues)
+        {
+            total += queue->size();
+        }
+    }
+    return total;
+}
+
+} // namespace zinniahub::pooling
--- /dev/null
+++ b/src/pooling/service_gateway.hpp
@@ -0,0 +1,199 @@
+#pragma once
+
+#include "observability/event_log.hpp"
+#include "pooling/member_pool.hpp"
+#include "pooling/ports.hpp"
+
+#include <zinniahub/fair_queue.hpp>
+#include <zinniahub/leader_samples.hpp>
+#include <zinniahub/proxy_configuration.hpp>
+#include <zinniahub/upstream_directory.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace zinniahub::pooling
+{
+
+/// @brief Who asks for a connection, and how long the request may wait.
+struct access_request
+{
+    std::string_view request_id;
+    std::string_view customer;
+    const session_values* session = nullptr;
+    std::uint32_t priority = 0;
+    /// The request is given up if no connection is free by then.
+    time_point wait_until = never;
+    /// As `wait_until`, while no member is usable.
+    time_point wait_until_down = never;
+    /// Members that this request has tried in vain.
+    std::vector<std::string> excluded;
+};
+
+class service_gateway;
+
+/// @brief A connection taken from a pool. Returns it when destroyed.
+class connection_lease
+{
+public:
+    connection_lease() = default;
+    connection_lease(
+        service_gateway& gateway, std::string instance, pooled_ptr connection);
+    connection_lease(connection_lease&& other) noexcept;
+    connection_lease& operator=(connection_lease&& other) noexcept;
+    ~connection_lease();
+
+    explicit operator bool() const
+    {
+        return connection_ != nullptr;
+    }
+    const std::string& instance() const
+    {
+        return instance_;
+    }
+
+    /// @brief Gives the connection the session's values and the prepared
+    /// statement.
+    awaitable<result<void>> restore(
+        const session_values& session, const prepared_statement* needed,
+        duration timeout);
+    awaitable<result<reply>> forward(
+        std::string_view id, std::string_view text,
+        std::optional<log_position> wait_for, duration timeout);
+    awaitable<result<reply>> run(const command& value, duration timeout);
+
+    /// @brief Ends an open transaction and returns the connection.
+    void roll_back();
+    /// @brief The member does not know a prepared statement.
+    void forget(const prepared_statement& statement);
+    void close();
+    void reset();
+
+private:
+    void note(const result<reply>& answer);
+
+    service_gateway* gateway_ = nullptr;
+    std::string instance_;
+    pooled_ptr connection_;
+};
+
+/// @brief Traffic of this host to the members of one service: which member a
+/// request may use, connections to it, and what is known of the primary.
+///
+/// A member is proved to be the primary by a transaction that may write: a
+/// replica refuses to begin one. All calls come from one thread.
+class service_gateway
+{
+public:
+    service_gateway(
+        boost::asio::io_context& io, member_connector& connector,
+        const upstream_directory& directory, service_definition definition,
+        log::event_log& events);
+
+    void set_definition(service_definition definition, std::size_t hosts);
+
+    /// @brief Takes a connection to the primary.
+    awaitable<result<connection_lease>> take_primary(access_request& request);
+
+    /// @brief Takes a connection to a member whose log probably reaches
+    /// `position`.
+    awaitable<result<connection_lease>>
+    take_reader(access_request& request, log_position position);
+
+    /// @brief Position that a read needs; none if the primary has to be used.
+    std::optional<log_position>
+    required_position(time_point now, duration max_staleness);
+
+    /// @brief Records that a member was the primary at `sent_at` or later.
+    void on_primary_proved(
+        std::string_view instance, time_point sent_at,
+        std::optional<log_position> position);
+
+    bool may_use_open(std::string_view instance, time_point now) const;
+
+    /// @brief Closes what is not needed, wakes requests. Call every 100 ms.
+    void on_tick();
+
+    struct member_numbers
+    {
+        std::string instance;
+        std::uint32_t in_use = 0;
+        std::size_t open = 0;
+    };
+    std::vector<member_numbers> numbers() const;
+    std::size_t waiting() const;
+    std::uint64_t opened() const
+    {
+        return opened_;
+    }
+    time_point sampled_at() const
+    {
+        return samples_.newest();
+    }
+
+private:
+    friend class connection_lease;
+
+    struct waiter : queue_entry
+    {
+        explicit waiter(boost::asio::io_context& io)
+            : timer(io)
+        {
+        }
+        boost::asio::steady_timer timer;
+        bool woken = false;
+    };
+    using queue_map = std::map<std::uint32_t, std::unique_ptr<fair_queue>>;
+
+    enum class purpose
+    {
+        primary,
+        read
+    };
+
+    member_pool& pool_of(const std::string& instance);
+    const upstream_state* member_of(std::string_view instance) const;
+    std::vector<const upstream_state*> primary_candidates(time_point now) const;
+    std::vector<const upstream_state*> read_candidates(
+        const access_request& request, log_position position,
+        time_point now) const;
+    awaitable<result<connection_lease>> take(
+        access_request& request, purpose use, log_position position);
+    awaitable<result<connection_lease>>
+    connect(const upstream_state& member, std::string customer);
+    awaitable<bool> wait_for_release(
+        const access_request& request, purpose use, time_point until);
+    void give_back(const std::string& instance, pooled_ptr connection);
+    void wake(queue_map& queues);
+    void start_sampling();
+    awaitable<void> sample();
+    awaitable<void> roll_back(connection_lease lease);
+
+    boost::asio::io_context& io_;
+    member_connector& connector_;
+    const upstream_directory& directory_;
+    service_definition definition_;
+    log::event_log& events_;
+    std::size_t hosts_ = 1;
+    std::map<std::string, member_pool, std::less<>> pools_;
+    leader_samples samples_;
+    /// Member last proved to be the primary.
+    std::string primary_;
+    time_point primary_proved_at_ = time_point::min();
+    queue_map primary_waiters_;
+    queue_map read_waiters_;
+    bool sampling_ = false;
+    /// Customer whose connection the sampler uses.
+    std::string last_customer_;
+    std::uint64_t opened_ = 0;
+    std::uint64_t ticket_ = 0;
+};
+
+} // namespace zinniahub::pooling
--- a/src/serve/proxy_server.cpp
+++ b/src/serve/proxy_server.cpp
@@ -1,7 +1,7 @@
 #include "serve/proxy_server.hpp"
 
 #include "observability/log.hpp"
-#include "platform/keys.hpp"
+#include "kv/keys.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -137,7 +137,7 @@
     , traffic_(values.host.traffic_threads)
     , policy_(make_policy(values))
     , platform_(
-          platform::async_platform_client::make(io_, values.platform.address))
+          kv::async_platform_client::make(io_, values.platform.address))
     , peers_(io_, values.peer_routes)
     , configuration_(
           io_, *platform_, values.platform.call_timeout, metrics_,
@@ -316,7 +316,7 @@
     }
     secret_requested_ = true;
     v1::GetRequest request;
-    request.set_key(std::string(platform::token_secret_key));
+    request.set_key(std::string(kv::token_secret_key));
     platform_->get(
         request, settings_.platform.call_timeout,
         [this](const result<v1::GetReply>& reply)
@@ -342,7 +342,7 @@
         secret.push_back(static_cast<char>(source()));
     }
     v1::PutRequest request;
-    request.set_key(std::string(platform::token_secret_key));
+    request.set_key(std::string(kv::token_secret_key));
     request.set_value(secret);
     secret_requested_ = true;
     // Whoever created it, the next reading returns the one that holds.
--- a/src/serve/proxy_server.hpp
+++ b/src/serve/proxy_server.hpp
@@ -9,7 +9,7 @@
 #include "control/rate_control.hpp"
 #include "observability/metrics.hpp"
 #include "observability/metrics_server.hpp"
-#include "platform/platform_client.hpp"
+#include "kv/platform_client.hpp"
 #include "serve/fleet_state.hpp"
 #include "session/caller_service.hpp"
 #include "settings/settings.hpp"
@@ -85,7 +85,7 @@
     fleet_state state_;
     traffic::traffic_policy policy_;
 
-    std::unique_ptr<platform::async_platform_client> platform_;
+    std::unique_ptr<kv::async_platform_client> platform_;
     control::peer_directory peers_;
     control::configuration_sync configuration_;
     control::ownership owners_;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -1,7 +1,7 @@
 #include "support/fleet.hpp"
 
 #include "control/ownership.hpp"
-#include "platform/keys.hpp"
+#include "kv/keys.hpp"
 #include "zinniahub/v1/configuration.pb.h"
 #include "zinniahub/v1/platform.grpc.pb.h"
 
@@ -535,9 +535,9 @@
         hash *= 1099511628211ULL;
     }
     constexpr std::uint64_t shards = 16;
-    const auto owners = owners_of(std::string(platform::rate_prefix));
+    const auto owners = owners_of(std::string(kv::rate_prefix));
     const auto found =
-        owners.find(platform::key_of(platform::rate_prefix, hash % shards));
+        owners.find(kv::key_of(kv::rate_prefix, hash % shards));
     for (std::size_t i = 0; i < proxies_.size() && found != owners.end(); ++i)
     {
         if (proxies_[i].name == found->second)
@@ -550,12 +550,12 @@
 
 std::size_t fleet::held_seats() const
 {
-    return owners_of(std::string(platform::seat_prefix)).size();
+    return owners_of(std::string(kv::seat_prefix)).size();
 }
 
 std::string fleet::delegate_of(const std::string& domain) const
 {
-    const auto key = platform::key_of(platform::delegate_prefix, domain);
+    const auto key = kv::key_of(kv::delegate_prefix, domain);
     const auto owners = owners_of(key);
     const auto found = owners.find(key);
     return found == owners.end() ? std::string() : found->second;
@@ -573,7 +573,7 @@
         start_timeout,
         [&]
         {
-            auto current = owners_of(std::string(platform::owner_prefix));
+            auto current = owners_of(std::string(kv::owner_prefix));
             const auto now = std::chrono::steady_clock::now();
             if (current != owners || held_seats() < proxies_.size())
             {
--- a/tests/unit/fake_platform_store.hpp
+++ b/tests/unit/fake_platform_store.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platform_client.hpp"
+#include "kv/platform_client.hpp"
 
 #include <functional>
 #include <map>
@@ -10,7 +10,7 @@
 {
 
 /// @brief Key-value store in memory with faults that can be set.
-class fake_platform_store : public platform::platform_store
+class fake_platform_store : public kv::platform_store
 {
 public:
     struct record
--- a/tests/unit/unit-operator.cpp
+++ b/tests/unit/unit-operator.cpp
@@ -4,7 +4,7 @@
 #include "operator/exec.hpp"
 #include "operator/json.hpp"
 #include "operator/watch.hpp"
-#include "platform/keys.hpp"
+#include "kv/keys.hpp"
 #include "zinniahub/v1/caller.grpc.pb.h"
 
 #include <fmt/format.h>
--- a/tests/unit/unit-platform_client.cpp
+++ b/tests/unit/unit-platform_client.cpp
@@ -1,5 +1,5 @@
 #include "fake_platform_store.hpp"
-#include "platform/platform_client.hpp"
+#include "kv/platform_client.hpp"
 
 #include <fmt/format.h>
 #include <grpcpp/server.h>
@@ -64,7 +64,7 @@
             };
         }
         const auto written =
-            platform::compare_and_swap(store, "k", "ours", 7, is_ours);
+            kv::compare_and_swap(store, "k", "ours", 7, is_ours);
         EXPECT_EQ(written.has_value(), test.succeeds);
         if (written)
             EXPECT_EQ(*written, store.revision_of("k"));
@@ -80,11 +80,11 @@
     fake_platform_store store;
     store.records["k"] = {"old", store.revision = 7};
     store.lost_answers = 1;
-    EXPECT_TRUE(platform::compare_and_remove(store, "k", 7));
+    EXPECT_TRUE(kv::compare_and_remove(store, "k", 7));
     EXPECT_TRUE(store.records.empty());
 
     store.records["k"] = {"new", store.revision = 9};
-    const auto refused = platform::compare_and_remove(store, "k", 7);
+    const auto refused = kv::compare_and_remove(store, "k", 7);
     ASSERT_FALSE(refused);
     EXPECT_EQ(refused.error().code, errc::conflict);
 }
@@ -125,7 +125,7 @@
         builder.RegisterService(&service_);
         server_ = builder.BuildAndStart();
         ASSERT_NE(server_, nullptr);
-        client_ = platform::async_platform_client::make(
+        client_ = kv::async_platform_client::make(
             context_, fmt::format("127.0.0.1:{}", port_));
     }
 
@@ -145,7 +145,7 @@
     fake_platform service_;
     std::unique_ptr<grpc::Server> server_;
     boost::asio::io_context context_;
-    std::unique_ptr<platform::async_platform_client> client_;
+    std::unique_ptr<kv::async_platform_client> client_;
 };
 
 // Guards against a refusal of the platform that is taken for another one.
