Start sessions of clients on the users' platform

Cause: GCC 12 copies the result of a conditional co_await bit by bit and loses the loop of a co_await in a loop condition; both ended the process. Ruled out: lifetime of sessions (valgrind shows the copied lease only).

--- a/src/coordination/host_registry.cpp
+++ b/src/coordination/host_registry.cpp
@@ -80,7 +80,16 @@
     asio::steady_timer timer(io_);
     while (!leaving_)
     {
-        const bool ok = lease_id_ == 0 ? co_await acquire() : co_await renew();
+        // GCC 12 copies the result of a conditional co_await bit by bit.
+        bool ok = false;
+        if (lease_id_ == 0)
+        {
+            ok = co_await acquire();
+        }
+        else
+        {
+            ok = co_await renew();
+        }
         timer.expires_after(
             ok ? settings_.renew_interval : settings_.retry_interval);
         co_await timer.async_wait(asio::use_awaitable);
--- a/src/coordination/store_follower.cpp
+++ b/src/coordination/store_follower.cpp
@@ -115,18 +115,23 @@
 
 awaitable<void> store_follower::follow()
 {
+    // GCC 12 generates wrong code for co_await in the condition of a loop.
+    bool listed = false;
     while (true)
     {
-        while (!co_await list())
+        if (!listed)
         {
-            co_await sleep(retry_delay(failures_ - 1));
-        }
-        while (co_await watch())
-        {
-            if (settings_.pause > duration::zero())
+            listed = co_await list();
+            if (!listed)
             {
-                co_await sleep(settings_.pause);
+                co_await sleep(retry_delay(failures_ - 1));
             }
+            continue;
+        }
+        listed = co_await watch();
+        if (listed && settings_.pause > duration::zero())
+        {
+            co_await sleep(settings_.pause);
         }
     }
 }
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -64,8 +64,10 @@
 
 awaitable<void> client_session::run()
 {
-    while (co_await wait_and_serve())
+    bool serving = true;
+    while (serving)
     {
+        serving = co_await wait_and_serve();
     }
     abandon_transaction();
     stream_->close();
@@ -471,9 +473,7 @@
     {
         required = std::max(*required, position_);
     }
-    auto lease = use_primary
-                     ? co_await gateway.take_primary(request)
-                     : co_await gateway.take_reader(request, *required);
+    auto lease = co_await gateway.take_member(request, required);
     if (!lease)
     {
         trace_.why = lease.error().code;
@@ -530,13 +530,14 @@
     }
     const bool is_commit = value.kind == statement_kind::commit;
     const auto* prepared = is_commit ? nullptr : prepared_for(value);
-    const auto restored =
-        is_commit ? result<void>{}
-                  : co_await connection_.restore(
-                        values_, prepared, command_timeout);
-    if (!restored)
+    if (!is_commit)
     {
-        co_return on_transaction_failure(restored.error(), false);
+        const auto restored = co_await connection_.restore(
+            values_, prepared, command_timeout);
+        if (!restored)
+        {
+            co_return on_transaction_failure(restored.error(), false);
+        }
     }
     const auto sent_at = clock::now();
     const auto answer = co_await connection_.forward(
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -362,6 +362,12 @@
     return take(request, purpose::read, position);
 }
 
+awaitable<result<connection_lease>> service_gateway::take_member(
+    access_request& request, const std::optional<log_position>& position)
+{
+    return position ? take_reader(request, *position) : take_primary(request);
+}
+
 awaitable<result<connection_lease>> service_gateway::take(
     access_request& request, purpose use, log_position position)
 {
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -107,6 +107,10 @@
     awaitable<result<connection_lease>>
     take_reader(access_request& request, log_position position);
 
+    /// @brief As `take_reader`, or as `take_primary` without a position.
+    awaitable<result<connection_lease>> take_member(
+        access_request& request, const std::optional<log_position>& position);
+
     /// @brief Position that a read needs; none if the primary has to be used.
     std::optional<log_position>
     required_position(time_point now, duration max_staleness);
--- a/tests/standins/fault_proxy.cpp
+++ b/tests/standins/fault_proxy.cpp
@@ -284,7 +284,7 @@
 
     void wait(direction& way)
     {
-        way.due.expires_at(way.waiting.front().due);
+        way.due.expires_after(way.waiting.front().due - clock::now());
         way.due.async_wait(
             [self = shared_from_this(), &way](error_code failed)
             {
--- /dev/null
+++ b/tests/support/hosted_member.cpp
@@ -0,0 +1,377 @@
+#include "support/hosted_member.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <sstream>
+#include <thread>
+
+namespace zinniahub::test
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+std::string take(std::string& text)
+{
+    const auto end = text.find(' ');
+    auto word = text.substr(0, end);
+    text = end == std::string::npos ? std::string{} : text.substr(end + 1);
+    return word;
+}
+
+std::string position_text(log_position position)
+{
+    return fmt::format("{}.{}", position.term, position.index);
+}
+
+log_position parse(const std::string& text)
+{
+    const auto dot = text.find('.');
+    return {std::stoull(text.substr(0, dot)), std::stoull(text.substr(dot + 1))};
+}
+
+} // namespace
+
+void replicated_log::replicate_locked()
+{
+    const auto primary = primary_locked();
+    if (primary.empty())
+    {
+        return;
+    }
+    const auto& source = members[primary];
+    for (auto& [name, member] : members)
+    {
+        if (name != primary && member.running && member.held_term == 0 &&
+            !member.deaf && source.running)
+        {
+            member.rows = source.rows;
+            member.received = source.received;
+            member.term = source.term;
+        }
+    }
+}
+
+std::string replicated_log::primary_locked() const
+{
+    for (const auto& [name, member] : members)
+    {
+        if (member.primary)
+        {
+            return name;
+        }
+    }
+    return {};
+}
+
+hosted_member::hosted_member(
+    std::string service, std::string instance, unsigned max_connections,
+    std::shared_ptr<replicated_log> log)
+    : service_(std::move(service))
+    , instance_(std::move(instance))
+    , max_connections_(max_connections)
+    , shared_(std::move(log))
+    , server_([this](hosted_server::socket& peer) { serve(peer); })
+{
+    const std::lock_guard lock(shared_->mutex);
+    shared_->members[instance_];
+}
+
+void hosted_member::crash()
+{
+    {
+        const std::lock_guard lock(shared_->mutex);
+        log_locked().running = false;
+    }
+    server_.stop();
+}
+
+void hosted_member::restart()
+{
+    {
+        const std::lock_guard lock(shared_->mutex);
+        log_locked().running = true;
+        log_locked().held_term = 0;
+        shared_->replicate_locked();
+    }
+    server_.start();
+}
+
+std::string hosted_member::ready(const connection& session)
+{
+    return fmt::format(
+        "READY {} {}\r\n", session.state, position_text(log_locked().received));
+}
+
+std::string
+hosted_member::refuse(connection& session, const std::string& code)
+{
+    if (session.state == 'T')
+    {
+        session.state = 'E';
+        session.pending.clear();
+    }
+    return fmt::format("ERROR {} {}\r\n", code, instance_) + ready(session);
+}
+
+std::string hosted_member::greet(const std::string& line, connection& session)
+{
+    auto rest = line;
+    const auto word = take(rest);
+    const auto service = take(rest);
+    session.customer = take(rest);
+    const std::lock_guard lock(shared_->mutex);
+    if (word != "STARTUP" || service != service_ ||
+        (!rest.empty() && rest != instance_))
+    {
+        return fmt::format("ERROR MISROUTED {}\r\n", instance_);
+    }
+    if (open_ > max_connections_)
+    {
+        return fmt::format("ERROR TOOMANY {}\r\n", instance_);
+    }
+    return ready(session);
+}
+
+std::string hosted_member::begin(connection& session, bool read_only)
+{
+    if (!read_only && !log_locked().primary)
+    {
+        return refuse(session, "READONLY");
+    }
+    session.state = 'T';
+    session.read_only = read_only;
+    session.plain_transaction = !read_only;
+    return "COMPLETE -\r\n" + ready(session);
+}
+
+std::string
+hosted_member::commit(connection& session, const std::string& id)
+{
+    if (session.state != 'T')
+    {
+        return refuse(session, "MALFORMED");
+    }
+    auto& log = log_locked();
+    if (!session.pending.empty() && !log.primary)
+    {
+        session.state = 'I';
+        session.pending.clear();
+        return fmt::format("ERROR READONLY {}\r\n", instance_) + ready(session);
+    }
+    for (auto& row : session.pending)
+    {
+        log.received = {log.term, log.received.index + 1};
+        row.position = log.received;
+        log.rows.push_back(row);
+    }
+    shared_->runs.push_back(
+        {id, "COMMIT", session.customer, instance_, session.values, {}, true,
+         log.primary, true, log.received});
+    shared_->replicate_locked();
+    session.pending.clear();
+    session.state = 'I';
+    return fmt::format("COMPLETE sig-{}\r\n", id) + ready(session);
+}
+
+std::string hosted_member::data(
+    connection& session, const std::string& id, const std::string& text,
+    bool is_write, const std::string& item, const std::string& value,
+    const std::string& shape)
+{
+    auto& log = log_locked();
+    const bool needs_primary =
+        is_write || (session.state == 'T' && session.plain_transaction);
+    if (needs_primary && !log.primary)
+    {
+        return refuse(session, "READONLY");
+    }
+    hosted_run run{
+        id, text, session.customer, instance_, session.values, shape,
+        session.state == 'T', log.primary, false, log.received};
+    std::string rows;
+    if (is_write)
+    {
+        session.pending.push_back({item, value, {}});
+        if (session.state == 'I')
+        {
+            log.received = {log.term, log.received.index + 1};
+            session.pending.back().position = log.received;
+            log.rows.push_back(session.pending.back());
+            session.pending.clear();
+            run.committed = true;
+            run.position = log.received;
+            shared_->replicate_locked();
+        }
+    }
+    else
+    {
+        for (auto row = log.rows.rbegin(); row != log.rows.rend(); ++row)
+        {
+            if (row->item == item)
+            {
+                rows = fmt::format("DATAROW {}\r\n", row->data);
+                break;
+            }
+        }
+    }
+    shared_->runs.push_back(run);
+    return rows + fmt::format("COMPLETE sig-{}\r\n", id) + ready(session);
+}
+
+std::string hosted_member::control(const std::string& word, std::uint64_t term)
+{
+    auto& log = log_locked();
+    if (word == "PAUSE" && !log.primary && term > log.term)
+    {
+        log.held_term = term;
+    }
+    else if (word == "RESUME")
+    {
+        log.held_term = 0;
+        shared_->replicate_locked();
+    }
+    else if (word == "STEPDOWN" && log.primary && term > log.term)
+    {
+        log.primary = false;
+    }
+    return fmt::format(
+        "DATAROW {} {} {} {} 0 0 {}\r\nCOMPLETE -\r\n",
+        log.primary ? "primary" : "replica", log.term,
+        position_text(log.received), log.held_term, open_.load());
+}
+
+std::string hosted_member::answer(const std::string& line, connection& session)
+{
+    auto text = line;
+    if (take(text) != "QUERY")
+    {
+        return {};
+    }
+    const auto id = take(text);
+    const auto whole = text;
+    auto rest = text;
+    auto word = take(rest);
+    const std::lock_guard lock(shared_->mutex);
+    if (word == "WAITLSN")
+    {
+        const auto position = parse(take(rest));
+        if (log_locked().received < position)
+        {
+            return refuse(session, "LAGGING");
+        }
+        word = take(rest);
+    }
+    if (word == "BEGIN")
+    {
+        return begin(session, rest == "FETCH");
+    }
+    if (word == "COMMIT")
+    {
+        return commit(session, id);
+    }
+    if (word == "ROLLBACK")
+    {
+        session.state = 'I';
+        session.pending.clear();
+        return "COMPLETE -\r\n" + ready(session);
+    }
+    if (session.state == 'E')
+    {
+        return refuse(session, "MALFORMED");
+    }
+    if (word == "SET")
+    {
+        const auto name = take(rest);
+        session.values[name] = rest;
+        return "COMPLETE -\r\n" + ready(session);
+    }
+    if (word == "PREPARE")
+    {
+        const auto name = take(rest);
+        const bool writes = take(rest) == "PUT";
+        session.prepared[name] = {writes, rest};
+        return "COMPLETE -\r\n" + ready(session);
+    }
+    if (word == "DISCARD")
+    {
+        session.values.clear();
+        session.prepared.clear();
+        return "COMPLETE -\r\n" + ready(session);
+    }
+    if (word == "FETCH" || word == "PUT")
+    {
+        const auto item = take(rest);
+        return data(session, id, whole, word == "PUT", item, rest, {});
+    }
+    if (word == "EXECUTE")
+    {
+        const auto found = session.prepared.find(take(rest));
+        if (found == session.prepared.end())
+        {
+            return refuse(session, "NOSTMT");
+        }
+        const auto item = take(rest);
+        return data(
+            session, id, whole, found->second.first, item, rest,
+            found->second.second);
+    }
+    return control(word, rest.empty() ? 0 : std::stoull(rest)) + ready(session);
+}
+
+void hosted_member::serve(hosted_server::socket& peer)
+{
+    ++open_;
+    ++opened_;
+    connection session;
+    asio::streambuf buffer;
+    bool greeted = false;
+    while (true)
+    {
+        boost::system::error_code failure;
+        asio::read_until(peer, buffer, "\r\n", failure);
+        if (failure)
+        {
+            break;
+        }
+        std::istream input(&buffer);
+        std::string line;
+        std::getline(input, line);
+        line.pop_back();
+        if (silent_)
+        {
+            continue;
+        }
+        const bool is_data = line.find(" FETCH ") != std::string::npos ||
+                             line.find(" PUT ") != std::string::npos ||
+                             line.find(" EXECUTE ") != std::string::npos;
+        if (is_data && work_ms_ > 0)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(work_ms_));
+        }
+        const auto bytes = greeted ? answer(line, session)
+                                   : greet(line, session);
+        const bool system = line.starts_with("QUERY - ");
+        if (greeted && lose_answers_ && !system)
+        {
+            continue;
+        }
+        greeted = true;
+        asio::write(peer, asio::buffer(bytes), failure);
+        if (failure || bytes.starts_with("ERROR MISROUTED") ||
+            bytes.starts_with("ERROR TOOMANY"))
+        {
+            break;
+        }
+    }
+    --open_;
+}
+
+} // namespace zinniahub::test
--- /dev/null
+++ b/tests/support/hosted_member.hpp
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "support/hosted_server.hpp"
+
+#include <zinniahub/log_position.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace zinniahub::test
+{
+
+struct hosted_row
+{
+    std::string item;
+    std::string data;
+    log_position position;
+};
+
+/// @brief A statement that a member ran.
+struct hosted_run
+{
+    std::string id;
+    std::string text;
+    std::string customer;
+    std::string instance;
+    /// Session values of the connection.
+    std::map<std::string, std::string> values;
+    /// Shape of an executed prepared statement.
+    std::string shape;
+    bool in_transaction = false;
+    bool as_primary = false;
+    bool committed = false;
+    log_position position;
+};
+
+/// @brief What the members of a service share: roles, logs and what they ran.
+struct replicated_log
+{
+    struct member_log
+    {
+        bool primary = false;
+        std::uint64_t term = 1;
+        std::uint64_t held_term = 0;
+        std::vector<hosted_row> rows;
+        log_position received;
+        bool running = true;
+        /// Receives nothing although it is not held.
+        bool deaf = false;
+    };
+
+    std::mutex mutex;
+    std::map<std::string, member_log> members;
+    std::vector<hosted_run> runs;
+
+    /// @brief Copies the primary's log to the replicas that receive.
+    void replicate_locked();
+    std::string primary_locked() const;
+};
+
+/// @brief Stand-in for a member that speaks the line protocol.
+class hosted_member
+{
+public:
+    hosted_member(
+        std::string service, std::string instance, unsigned max_connections,
+        std::shared_ptr<replicated_log> log);
+
+    const std::string& instance() const
+    {
+        return instance_;
+    }
+    std::string address() const
+    {
+        return server_.address();
+    }
+
+    /// @brief The process ends: connections break, new ones are refused. The
+    /// log stays.
+    void crash();
+    void restart();
+
+    /// @brief Statements get no answer, though they run.
+    void lose_answers(bool value)
+    {
+        lose_answers_ = value;
+    }
+    /// @brief The member reads and does nothing.
+    void set_silent(bool value)
+    {
+        silent_ = value;
+    }
+    /// @brief Time that each data statement takes.
+    void set_work(std::chrono::milliseconds value)
+    {
+        work_ms_ = value.count();
+    }
+    unsigned opened() const
+    {
+        return opened_;
+    }
+
+private:
+    struct connection
+    {
+        std::string customer;
+        std::map<std::string, std::string> values;
+        std::map<std::string, std::pair<bool, std::string>> prepared;
+        char state = 'I';
+        bool read_only = false;
+        std::vector<hosted_row> pending;
+        bool plain_transaction = false;
+    };
+
+    void serve(hosted_server::socket& peer);
+    std::string greet(const std::string& line, connection& session);
+    std::string answer(const std::string& line, connection& session);
+    std::string data(
+        connection& session, const std::string& id, const std::string& text,
+        bool is_write, const std::string& item, const std::string& value,
+        const std::string& shape);
+    std::string begin(connection& session, bool read_only);
+    std::string commit(connection& session, const std::string& id);
+    std::string control(const std::string& word, std::uint64_t term);
+    std::string ready(const connection& session);
+    std::string refuse(connection& session, const std::string& code);
+    replicated_log::member_log& log_locked()
+    {
+        return shared_->members[instance_];
+    }
+
+    std::string service_;
+    std::string instance_;
+    unsigned max_connections_;
+    std::shared_ptr<replicated_log> shared_;
+    std::atomic<bool> lose_answers_{false};
+    std::atomic<bool> silent_{false};
+    std::atomic<std::int64_t> work_ms_{0};
+    std::atomic<unsigned> open_{0};
+    std::atomic<unsigned> opened_{0};
+    /// Last: its threads use everything above.
+    hosted_server server_;
+};
+
+} // namespace zinniahub::test
--- /dev/null
+++ b/tests/support/hosted_platform.cpp
@@ -0,0 +1,149 @@
+#include "support/hosted_platform.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace zinniahub::test
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+json route(
+    const std::string& database, const std::string& type,
+    const std::string& service)
+{
+    return {
+        {"name", "r-" + database},
+        {"host", database},
+        {"prefix", "/"},
+        {"type", type},
+        {"timeout_ms", 800},
+        {"target_latency_ms", 500},
+        {"priority", 1},
+        {"service", service},
+        {"max_staleness_ms", 2000},
+        {"public", false}};
+}
+
+} // namespace
+
+hosted_platform::hosted_platform(settings values)
+    : settings_(std::move(values))
+    , log_(std::make_shared<replicated_log>())
+{
+    for (std::size_t index = 0; index < settings_.members; ++index)
+    {
+        members_.push_back(std::make_unique<hosted_member>(
+            settings_.service, "i-" + std::to_string(index),
+            settings_.max_connections, log_));
+    }
+    {
+        const std::lock_guard lock(log_->mutex);
+        log_->members["i-0"].primary = true;
+    }
+    for (std::size_t index = 0; index < members_.size(); ++index)
+    {
+        register_member(index);
+    }
+    store_.on_promotion([this](const hosted_store::promotion& order)
+                        { return promote(order.instance); });
+}
+
+void hosted_platform::configure(
+    unsigned version, const std::map<std::string, std::string>& keys,
+    double rate_per_s)
+{
+    json tenants = json::array();
+    for (const auto& [customer, key] : keys)
+    {
+        tenants.push_back(
+            {{"name", customer},
+             {"api_keys", {key}},
+             {"rate_per_s", rate_per_s},
+             {"burst", rate_per_s}});
+    }
+    const auto& service = settings_.service;
+    const json value{
+        {"version", version},
+        {"routes",
+         {route("latest", "primary", service),
+          route("bounded", "bounded_staleness", service),
+          route("session", "read_your_writes", service)}},
+        {"services",
+         {{{"name", service},
+           {"max_connections", settings_.max_connections},
+           {"sync_replicas", 1}}}},
+        {"limits", {{"tx_idle_ms", 3000}}},
+        {"tenants", tenants}};
+    store_.put("op/config", value.dump());
+}
+
+void hosted_platform::register_member(std::size_t index, bool draining)
+{
+    const auto& instance = members_[index]->instance();
+    bool primary = false;
+    {
+        const std::lock_guard lock(log_->mutex);
+        primary = log_->members[instance].primary;
+    }
+    const json value{
+        {"service", settings_.service},
+        {"address", members_[index]->address()},
+        {"zone", "zone-" + std::to_string(index)},
+        {"version", "v1"},
+        {"capacity", 3},
+        {"phase", draining ? "draining" : "ready"},
+        {"warmup_remaining_ms", 0},
+        {"db_role", primary ? "primary" : "replica"},
+        {"sequence", ++sequence_},
+        {"born", 1000}};
+    store_.put("servers/" + instance, value.dump());
+}
+
+void hosted_platform::remove_member(std::size_t index)
+{
+    store_.remove("servers/" + members_[index]->instance());
+}
+
+bool hosted_platform::promote(const std::string& instance)
+{
+    const std::lock_guard lock(log_->mutex);
+    const auto found = log_->members.find(instance);
+    if (found == log_->members.end() || !found->second.running)
+    {
+        return false;
+    }
+    if (found->second.primary)
+    {
+        return true;
+    }
+    std::uint64_t term = 0;
+    for (auto& [name, member] : log_->members)
+    {
+        term = std::max(term, member.term);
+        member.primary = false;
+        member.held_term = 0;
+    }
+    found->second.primary = true;
+    found->second.term = term + 1;
+    log_->replicate_locked();
+    return true;
+}
+
+std::size_t hosted_platform::primary() const
+{
+    const std::lock_guard lock(log_->mutex);
+    const auto name = log_->primary_locked();
+    for (std::size_t index = 0; index < members_.size(); ++index)
+    {
+        if (members_[index]->instance() == name)
+        {
+            return index;
+        }
+    }
+    return members_.size();
+}
+
+} // namespace zinniahub::test
--- /dev/null
+++ b/tests/support/hosted_platform.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "support/hosted_member.hpp"
+#include "support/hosted_store.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace zinniahub::test
+{
+
+/// @brief Stand-in for the users' platform on loopback: its store, the members
+/// of one service, and the call that promotes a member.
+class hosted_platform
+{
+public:
+    struct settings
+    {
+        std::string service = "ledger";
+        std::size_t members = 3;
+        /// Connections that each member accepts.
+        unsigned max_connections = 22;
+    };
+
+    explicit hosted_platform(settings values);
+    hosted_platform()
+        : hosted_platform(settings{})
+    {
+    }
+
+    hosted_store& store()
+    {
+        return store_;
+    }
+    hosted_member& member(std::size_t index)
+    {
+        return *members_.at(index);
+    }
+    std::size_t size() const
+    {
+        return members_.size();
+    }
+    const std::string& service() const
+    {
+        return settings_.service;
+    }
+
+    /// @brief Writes a configuration with one route of each kind: databases
+    /// "latest", "bounded" and "session".
+    void configure(
+        unsigned version, const std::map<std::string, std::string>& keys,
+        double rate_per_s = 1000);
+
+    /// @brief Registers a member as it is now.
+    void register_member(std::size_t index, bool draining = false);
+    void remove_member(std::size_t index);
+
+    /// @brief Makes a member the primary, as the platform does.
+    /// @return false if the member is not running
+    bool promote(const std::string& instance);
+
+    /// @brief Index of the primary.
+    std::size_t primary() const;
+
+private:
+    settings settings_;
+    std::shared_ptr<replicated_log> log_;
+    hosted_store store_;
+    std::vector<std::unique_ptr<hosted_member>> members_;
+    unsigned sequence_ = 0;
+};
+
+} // namespace zinniahub::test
--- /dev/null
+++ b/tests/support/hosted_proxy.cpp
@@ -0,0 +1,216 @@
+#include "support/hosted_proxy.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <istream>
+#include <iterator>
+#include <poll.h>
+#include <thread>
+
+namespace zinniahub::test
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace
+{
+
+std::string next_id()
+{
+    static std::atomic<unsigned> count{0};
+    return fmt::format("{:016x}", 0x5c0e000000000000U + ++count);
+}
+
+tcp::endpoint endpoint_of(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    return {
+        asio::ip::make_address(address.substr(0, colon)),
+        static_cast<unsigned short>(std::stoul(address.substr(colon + 1)))};
+}
+
+} // namespace
+
+line_caller::line_caller(const std::string& proxy)
+    : socket_(io_)
+{
+    boost::system::error_code failure;
+    socket_.connect(endpoint_of(proxy), failure);
+}
+
+client_reply
+line_caller::start(const std::string& database, const std::string& key)
+{
+    return send_raw(fmt::format("STARTUP {} {}\r\n", database, key));
+}
+
+client_reply line_caller::run(const std::string& text)
+{
+    id_ = next_id();
+    return send_raw(fmt::format("QUERY {} {}\r\n", id_, text));
+}
+
+void line_caller::send_only(const std::string& bytes)
+{
+    boost::system::error_code failure;
+    asio::write(socket_, asio::buffer(bytes), failure);
+}
+
+client_reply line_caller::send_raw(const std::string& bytes)
+{
+    send_only(bytes);
+    return receive();
+}
+
+client_reply line_caller::receive()
+{
+    client_reply reply;
+    while (true)
+    {
+        boost::system::error_code failure;
+        asio::read_until(socket_, buffer_, "\r\n", failure);
+        if (failure)
+        {
+            reply.cut = true;
+            return reply;
+        }
+        std::istream input(&buffer_);
+        std::string line;
+        std::getline(input, line);
+        line.pop_back();
+        const auto space = line.find(' ');
+        const auto word = line.substr(0, space);
+        const auto rest =
+            space == std::string::npos ? std::string{} : line.substr(space + 1);
+        if (word == "DATAROW")
+        {
+            reply.rows.push_back(rest);
+        }
+        else if (word == "COMPLETE")
+        {
+            reply.signature = rest;
+        }
+        else if (word == "ERROR")
+        {
+            reply.code = rest.substr(0, rest.find(' '));
+        }
+        else
+        {
+            reply.state = rest.substr(0, rest.find(' '));
+            return reply;
+        }
+    }
+}
+
+bool line_caller::is_closed_within(std::chrono::milliseconds timeout)
+{
+    pollfd entry{socket_.native_handle(), POLLIN, 0};
+    if (::poll(&entry, 1, static_cast<int>(timeout.count())) <= 0)
+    {
+        return false;
+    }
+    char byte = 0;
+    return ::recv(entry.fd, &byte, 1, MSG_PEEK) <= 0;
+}
+
+hosted_proxy::hosted_proxy(
+    const hosted_platform& platform, const std::string& name)
+    : name_(name)
+    , address_(free_address())
+    , ready_(free_address())
+{
+    const auto folder = std::filesystem::temp_directory_path() /
+                        fmt::format("zinniahub-{}-{}", ::getpid(), next_id());
+    std::filesystem::create_directories(folder);
+    settings_path_ = folder / "boot.toml";
+    log_path_ = folder / "log";
+    const auto store = const_cast<hosted_platform&>(platform).store().address();
+    std::ofstream(settings_path_) << fmt::format(
+        R"(node_name = "{}"
+zone = "zone-0"
+ip_address = "127.0.0.1"
+[listen_addrs]
+frontend = "{}"
+ready = "{}"
+[bounds]
+drain_timeout_ms = 7000
+grace_period_s = 6
+evacuation_ms = 5000
+config_apply_ms = 3000
+quota_overage = 0.1
+quota_tolerance = 20
+[platform]
+address = "{}"
+[cloud_api]
+address = "{}"
+assigned_tasks = ["promotion"]
+)",
+        name_, address_, ready_, store, store);
+    restart();
+}
+
+void hosted_proxy::restart()
+{
+    child_ = process::start(
+        {ZINNIAHUB_BINARY, "serve-platform", "--settings", settings_path_},
+        log_path_);
+}
+
+unsigned
+hosted_proxy::get(const std::string& target, std::string* body) const
+{
+    asio::io_context io;
+    tcp::socket socket(io);
+    boost::system::error_code failure;
+    socket.connect(endpoint_of(ready_), failure);
+    if (failure)
+    {
+        return 0;
+    }
+    http::request<http::empty_body> request(http::verb::get, target, 11);
+    http::write(socket, request, failure);
+    boost::beast::flat_buffer buffer;
+    http::response<http::string_body> response;
+    http::read(socket, buffer, response, failure);
+    if (failure)
+    {
+        return 0;
+    }
+    if (body != nullptr)
+    {
+        *body = response.body();
+    }
+    return response.result_int();
+}
+
+bool hosted_proxy::wait_until_ready(std::chrono::milliseconds timeout) const
+{
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        if (get("/readyz") == 200)
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+}
+
+std::string hosted_proxy::log() const
+{
+    std::ifstream file(log_path_);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+} // namespace zinniahub::test
--- /dev/null
+++ b/tests/support/hosted_proxy.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "support/hosted_platform.hpp"
+#include "support/process.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/streambuf.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace zinniahub::test
+{
+
+/// @brief Reply of a proxy to a client.
+struct client_reply
+{
+    std::vector<std::string> rows;
+    std::string signature;
+    /// Word of an error; empty after a success.
+    std::string code;
+    std::string state;
+    /// The connection ended before the reply was complete.
+    bool cut = false;
+
+    bool ok() const
+    {
+        return !cut && code.empty();
+    }
+};
+
+/// @brief Blocking client of the line protocol.
+class line_caller
+{
+public:
+    /// @param proxy IP:port
+    explicit line_caller(const std::string& proxy);
+
+    /// @brief Starts a session.
+    client_reply start(const std::string& database, const std::string& key);
+    /// @brief Runs a statement under a new id.
+    client_reply run(const std::string& text);
+    const std::string& last_id() const
+    {
+        return id_;
+    }
+    /// @brief Sends bytes as they are and waits for a reply.
+    client_reply send_raw(const std::string& bytes);
+    void send_only(const std::string& bytes);
+    client_reply receive();
+    /// @brief True if the proxy closes the connection within `timeout`.
+    bool is_closed_within(std::chrono::milliseconds timeout);
+
+private:
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::streambuf buffer_;
+    std::string id_;
+};
+
+/// @brief A proxy process in front of a `hosted_platform`.
+class hosted_proxy
+{
+public:
+    hosted_proxy(const hosted_platform& platform, const std::string& name);
+
+    const std::string& address() const
+    {
+        return address_;
+    }
+    process& child()
+    {
+        return child_;
+    }
+    /// @brief Waits until the ready probe answers with 200.
+    bool wait_until_ready(
+        std::chrono::milliseconds timeout = std::chrono::seconds(5)) const;
+    /// @brief Status of a GET request to the ready address; 0 without answer.
+    unsigned get(const std::string& target, std::string* body = nullptr) const;
+    /// @brief Lines that the process has written.
+    std::string log() const;
+
+    /// @brief Starts the process again under the same name and addresses.
+    void restart();
+
+private:
+    std::string name_;
+    std::string address_;
+    std::string ready_;
+    std::string settings_path_;
+    std::string log_path_;
+    process child_;
+};
+
+} // namespace zinniahub::test
--- /dev/null
+++ b/tests/support/hosted_store.hpp
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "support/hosted_server.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace zinniahub::test
+{
+
+/// @brief Stand-in for the platform's store, over HTTP with JSON bodies.
+class hosted_store
+{
+public:
+    /// What happens to calls.
+    enum class fault
+    {
+        none,
+        /// Refused with 503.
+        busy,
+        /// Refused with 429.
+        limited,
+        /// The connection is reset.
+        reset,
+        /// Nothing is done and nothing is answered.
+        silent,
+        /// Writes are done and not answered.
+        answers_lost
+    };
+
+    struct promotion
+    {
+        std::string service;
+        std::string instance;
+        std::string holder;
+        std::uint64_t token = 0;
+    };
+
+    hosted_store();
+
+    std::string address() const
+    {
+        return server_.address();
+    }
+
+    void set_fault(fault value)
+    {
+        fault_ = value;
+    }
+    /// @brief Delay of each answer.
+    void set_delay(std::chrono::milliseconds value)
+    {
+        delay_ms_ = value.count();
+    }
+    /// @brief Drops the history, so that watches from before are refused.
+    void compact();
+
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    std::string get(const std::string& key) const;
+    std::uint64_t revision_of(const std::string& key) const;
+    std::uint64_t calls() const
+    {
+        return calls_;
+    }
+
+    /// @brief Called for each order to promote; false means 409.
+    void on_promotion(std::function<bool(const promotion&)> handler);
+    std::vector<promotion> promotions() const;
+
+private:
+    struct item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+        std::uint64_t lease = 0;
+    };
+    struct change
+    {
+        std::string key;
+        std::uint64_t revision = 0;
+        bool removed = false;
+        std::string value;
+        std::uint64_t lease = 0;
+    };
+    struct lease
+    {
+        std::chrono::steady_clock::time_point ends;
+        std::chrono::milliseconds ttl{};
+    };
+    struct answer
+    {
+        unsigned status = 200;
+        nlohmann::json body = nlohmann::json::object();
+    };
+
+    void serve(hosted_server::socket& peer);
+    answer
+    handle(const std::string& method, const std::string& target,
+           const std::string& body, const promotion& order);
+    answer range(const std::string& prefix, const std::string& after);
+    answer
+    watch(const std::string& prefix, std::uint64_t after, std::int64_t wait_ms);
+    answer transact(const nlohmann::json& body);
+    answer grant(const nlohmann::json& body);
+    void expire_locked();
+    void write_locked(
+        const std::string& key, const std::string& value, std::uint64_t lease);
+    void remove_locked(const std::string& key);
+
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::string, item> items_;
+    std::vector<change> history_;
+    std::map<std::uint64_t, lease> leases_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t compacted_ = 0;
+    std::uint64_t next_lease_ = 100;
+    std::atomic<fault> fault_{fault::none};
+    std::atomic<std::int64_t> delay_ms_{0};
+    std::atomic<std::uint64_t> calls_{0};
+    std::function<bool(const promotion&)> promote_;
+    std::vector<promotion> promotions_;
+    std::map<std::string, std::uint64_t> tokens_;
+    /// Last: its threads use everything above.
+    hosted_server server_;
+};
+
+} // namespace zinniahub::test
