Let hosts give rate tokens to one another

Ruled out: load at members (no refusal names them). Change: equal shares in one record; tokens move between hosts in datagrams.

--- a/include/zinniahub/rate_ledger.hpp
+++ b/include/zinniahub/rate_ledger.hpp
@@ -9,15 +9,15 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace zinniahub
 {
 
-/// @brief Shares of one customer's limit by host, in thousandths. The sum is
-/// at most `whole`.
+/// @brief Shares of all customers' limits by host. The sum is at most `whole`.
 struct rate_shares
 {
-    static constexpr std::uint32_t whole = 1000;
+    static constexpr std::uint32_t whole = 10000;
 
     std::map<std::string, std::uint32_t, std::less<>> by_host;
 
@@ -25,100 +25,108 @@
     std::uint32_t of(std::string_view host) const;
 };
 
-/// @brief Limits of a customer that all hosts together keep in every window:
-/// rate * window + burst.
-struct rate_allowance
+/// @brief A change of the shares, to be written by compare-and-swap.
+struct share_change
 {
-    /// Part by which the limit may be exceeded.
-    double overage = 0;
-    /// Operations per window beyond that.
-    double tolerance = 0;
+    rate_shares shares;
+    /// Hosts whose shares are taken away; they must not be registered when the
+    /// change is written.
+    std::vector<std::string> dropped;
 };
 
-/// @brief This host's share of one customer's limit.
+/// @brief Decides how the shares of the hosts change.
 ///
-/// The shares of all hosts are kept in one record that is written by
-/// compare-and-swap. A host lowers its share before it writes the lower value
-/// and uses a higher share only after the write is confirmed, so the shares in
-/// use never add up to more than the whole, whatever is lost or late. Tokens
-/// above a lowered share are dropped and a raised share starts without tokens,
-/// so that every window of all hosts together stays within the limit. A host
-/// that starts again has an empty bucket, which covers what it had spent
-/// before.
-class rate_share_holder
+/// Registered hosts get equal shares. A part is left free for hosts that come,
+/// because a share is taken away only from a host whose registration has
+/// ended. Only a host itself lowers its share, before it writes the lower one,
+/// and uses a higher share only after it was written, so the shares in use
+/// never exceed the whole.
+class share_planner
 {
 public:
     struct settings
     {
         std::string host;
-        rate_allowance allowance;
-        /// Time between two changes of the share.
-        duration adjust_interval = std::chrono::seconds(1);
-        /// Share wanted, as a multiple of the host's part of the demand.
-        double headroom = 1.5;
+        /// Hosts that start together register within this time.
+        duration settle_time = std::chrono::milliseconds(700);
+        /// Time after which a host without a share adds itself.
+        duration patience = std::chrono::milliseconds(1500);
+        /// Equal shares that are left free.
+        std::uint32_t spare = 2;
+        /// Most shares that one change takes away.
+        std::size_t max_dropped = 24;
     };
 
-    rate_share_holder(settings values, rate_limit limit, time_point now);
-
-    /// @brief Changes the customer's limit.
-    void set_limit(rate_limit limit, time_point now);
-
-    /// @brief Takes the right to run one operation.
-    bool try_take(time_point now);
-
-    /// @brief Applies the shares as the store has them.
-    /// @param lease_valid_until end of this host's registration as the host
-    /// may assume it; after that its share may belong to others
-    void on_shares(
-        const rate_shares& shares, time_point lease_valid_until,
-        time_point now);
-
-    /// @brief The registration was renewed.
-    void on_lease(time_point valid_until)
+    explicit share_planner(settings values)
+        : settings_(std::move(values))
     {
-        valid_until_ = valid_until;
     }
 
-    /// @brief Decides whether to write other shares.
-    ///
-    /// A lower own share is in force at once.
-    /// @param shares latest shares known
-    /// @param hosts registered hosts; shares of others are free
-    /// @return the shares to write by compare-and-swap
+    /// @brief Next change, if any.
+    /// @param hosts registered hosts, with this one
     /// @complexity linear in hosts
-    std::optional<rate_shares> propose(
-        const rate_shares& shares, const std::set<std::string>& hosts,
+    std::optional<share_change> on_tick(
+        const std::set<std::string>& hosts, const rate_shares& shares,
         time_point now);
 
-    /// @brief Share in use, in thousandths.
-    std::uint32_t share() const
-    {
-        return share_;
-    }
+private:
+    share_change fill(
+        const std::set<std::string>& hosts, const rate_shares& shares,
+        bool only_self) const;
 
-    std::uint64_t refused() const
-    {
-        return refused_;
-    }
+    settings settings_;
+    std::set<std::string> hosts_;
+    time_point changed_at_ = time_point::min();
+    std::optional<time_point> without_share_since_;
+};
+
+/// @brief Limits of a customer that all hosts together keep in every window:
+/// (rate * window + burst) * (1 + overage) + tolerance.
+struct rate_allowance
+{
+    double overage = 0;
+    /// Operations.
+    double tolerance = 0;
+    duration window = std::chrono::seconds(5);
+};
+
+/// @brief This host's part of one customer's limit: a token bucket that starts
+/// empty and never holds more than its capacity.
+///
+/// Hosts give tokens to one another. The receiver takes no more than fit, so
+/// all buckets together never hold more than the customer's burst, and every
+/// window of all hosts together stays within the limit. Tokens that are lost
+/// on the way are never spent. The bucket of a host that starts again is
+/// empty, which covers what it had spent before.
+class rate_account
+{
+public:
+    rate_account(rate_allowance allowance, rate_limit limit, time_point now);
+
+    void set_limit(rate_limit limit, time_point now);
+    /// @param share in parts of `rate_shares::whole`
+    void set_share(std::uint32_t share, time_point now);
+
+    bool try_take(time_point now);
+
+    /// @brief Tokens to ask another host for, 0 if none are needed.
+    std::uint32_t wanted(time_point now);
+    /// @brief Takes tokens out for another host, at most half of those held.
+    std::uint32_t give(std::uint32_t asked, time_point now);
+    /// @brief Adds tokens from another host. Those that do not fit are dropped.
+    void receive(std::uint32_t tokens, time_point now);
+
+    double level(time_point now);
+    double capacity() const;
 
 private:
-    void use_share(std::uint32_t share, time_point now);
-    rate_limit limit_of(std::uint32_t share) const;
-    std::uint32_t wanted_share(std::size_t hosts) const;
-    void measure(time_point now);
+    void update(time_point now);
+    rate_limit bucket_limit() const;
 
-    settings settings_;
+    rate_allowance allowance_;
     rate_limit limit_;
-    token_bucket bucket_;
     std::uint32_t share_ = 0;
-    time_point valid_until_ = time_point::min();
-    time_point adjusted_at_;
-    time_point measured_at_;
-    std::uint32_t asked_ = 0;
-    /// Operations per second asked for, smoothed.
-    double demand_ = 0;
-    std::uint64_t refused_ = 0;
-    bool denied_ = false;
+    token_bucket bucket_;
 };
 
 } // namespace zinniahub
--- a/src/coordination/host_registry.cpp
+++ b/src/coordination/host_registry.cpp
@@ -51,18 +51,31 @@
     }
     else
     {
-        keys_[host] = item.revision;
+        keys_[host] = {item.revision, item.value};
     }
+    update_peers();
     if (host == settings_.host)
     {
         on_changed_();
     }
 }
 
+void host_registry::update_peers()
+{
+    peers_.clear();
+    for (const auto& [host, entry] : keys_)
+    {
+        if (host != settings_.host)
+        {
+            peers_.push_back(entry.address);
+        }
+    }
+}
+
 std::set<std::string> host_registry::hosts() const
 {
     std::set<std::string> names;
-    for (const auto& [host, revision] : keys_)
+    for (const auto& [host, entry] : keys_)
     {
         names.insert(host);
     }
@@ -72,7 +85,7 @@
 std::uint64_t host_registry::revision_of(std::string_view host) const
 {
     const auto found = keys_.find(host);
-    return found == keys_.end() ? 0 : found->second;
+    return found == keys_.end() ? 0 : found->second.revision;
 }
 
 awaitable<void> host_registry::keep()
@@ -105,7 +118,7 @@
         co_return false;
     }
     store_transaction change;
-    change.writes.push_back({key_of(settings_.host), "{}", lease->id});
+    change.writes.push_back({key_of(settings_.host), settings_.address, lease->id});
     const auto written = co_await store_.commit(change);
     if (!written)
     {
--- a/src/coordination/host_registry.hpp
+++ b/src/coordination/host_registry.hpp
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace zinniahub::coordination
 {
@@ -29,6 +30,8 @@
     struct settings
     {
         std::string host;
+        /// Address of the host for datagrams.
+        std::string address;
         /// Long enough to outlast an outage of the store.
         duration ttl = std::chrono::seconds(30);
         duration renew_interval = std::chrono::seconds(5);
@@ -47,10 +50,16 @@
     void clear()
     {
         keys_.clear();
+        peers_.clear();
     }
 
     /// @brief Registered hosts.
     std::set<std::string> hosts() const;
+    /// @brief Addresses of the other hosts.
+    const std::vector<std::string>& peers() const
+    {
+        return peers_;
+    }
     /// @brief Key of a host's registration with its revision, 0 if none.
     std::uint64_t revision_of(std::string_view host) const;
 
@@ -77,6 +86,7 @@
     awaitable<void> keep();
     awaitable<bool> acquire();
     awaitable<bool> renew();
+    void update_peers();
 
     boost::asio::io_context& io_;
     store& store_;
@@ -88,7 +98,13 @@
     /// Revision of the registration.
     std::uint64_t registered_at_ = 0;
     bool leaving_ = false;
-    std::map<std::string, std::uint64_t, std::less<>> keys_;
+    struct registration
+    {
+        std::uint64_t revision = 0;
+        std::string address;
+    };
+    std::map<std::string, registration, std::less<>> keys_;
+    std::vector<std::string> peers_;
 };
 
 } // namespace zinniahub::coordination
--- /dev/null
+++ b/src/coordination/rate_keeper.cpp
@@ -0,0 +1,348 @@
+#include "coordination/rate_keeper.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace zinniahub::coordination
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::string_view shares_key = "zinniahub/shares";
+constexpr duration adjust_pause = std::chrono::milliseconds(200);
+
+/// Longest wait of a request for tokens of another host.
+constexpr duration longest_wait = std::chrono::milliseconds(30);
+
+/// A host that does not answer in this time is passed over.
+constexpr duration answer_time = std::chrono::milliseconds(8);
+
+/// Time for which no host is asked after all had nothing to give.
+constexpr duration exhausted_pause = std::chrono::milliseconds(60);
+
+/// Shortest time between two questions that no request waits for.
+constexpr duration ask_interval = std::chrono::milliseconds(15);
+
+/// Hosts that are asked before a request is refused.
+constexpr std::size_t hosts_asked = 6;
+
+constexpr std::string_view word_ask = "ask";
+constexpr std::string_view word_give = "give";
+
+std::optional<rate_shares> decode(std::string_view text)
+{
+    const auto document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_object())
+    {
+        return std::nullopt;
+    }
+    rate_shares shares;
+    for (const auto& [host, share] : document.items())
+    {
+        if (!share.is_number_unsigned())
+        {
+            return std::nullopt;
+        }
+        shares.by_host[host] = share.get<std::uint32_t>();
+    }
+    return shares;
+}
+
+std::string encode(const rate_shares& shares)
+{
+    return nlohmann::json(shares.by_host).dump();
+}
+
+std::string_view take_word(std::string_view& text)
+{
+    const auto end = text.find(' ');
+    const auto word = text.substr(0, end);
+    text = end == std::string_view::npos ? std::string_view{}
+                                         : text.substr(end + 1);
+    return word;
+}
+
+} // namespace
+
+rate_keeper::rate_keeper(
+    asio::io_context& io, store& target, datagrams& network,
+    const host_registry& hosts, std::string host, rate_allowance allowance,
+    log::event_log& events)
+    : io_(io)
+    , store_(target)
+    , network_(network)
+    , hosts_(hosts)
+    , host_(std::move(host))
+    , allowance_(allowance)
+    , events_(events)
+    , planner_({.host = host_})
+{
+    network_.on_message([this](std::string_view from, std::string_view message)
+                        { on_message(from, message); });
+}
+
+void rate_keeper::start()
+{
+    asio::co_spawn(io_, adjust(), asio::detached);
+}
+
+void rate_keeper::on_configuration(const proxy_configuration& configuration)
+{
+    const auto now = clock::now();
+    for (const auto& [name, customer] : configuration.customers)
+    {
+        const rate_limit limit{customer.rate_per_s, customer.burst};
+        const auto found = customers_.find(name);
+        if (found != customers_.end())
+        {
+            found->second.account.set_limit(limit, now);
+            continue;
+        }
+        auto& added =
+            customers_
+                .emplace(
+                    name,
+                    customer_state{rate_account(allowance_, limit, now)})
+                .first->second;
+        added.counts.customer = name;
+    }
+    std::erase_if(
+        customers_, [&configuration](const auto& entry)
+        { return !configuration.customers.contains(entry.first) &&
+                 entry.second.waiters.empty(); });
+    apply_share();
+}
+
+void rate_keeper::on_item(const stored_item& item)
+{
+    if (item.key != shares_key || item.revision < revision_)
+    {
+        return;
+    }
+    const auto shares =
+        item.removed ? std::optional(rate_shares{}) : decode(item.value);
+    if (!shares)
+    {
+        events_.write(
+            "record_unreadable",
+            {{"key", item.key}, {"revision", item.revision}});
+        return;
+    }
+    revision_ = item.removed ? 0 : item.revision;
+    shares_ = *shares;
+    apply_share();
+}
+
+void rate_keeper::on_lease()
+{
+    apply_share();
+}
+
+void rate_keeper::apply_share()
+{
+    const auto now = clock::now();
+    // Without a registration the share may belong to another host.
+    const auto share = hosts_.valid_until() > now
+                           ? std::min(shares_.of(host_), ceiling_)
+                           : 0;
+    for (auto& [name, customer] : customers_)
+    {
+        customer.account.set_share(share, now);
+    }
+}
+
+bool rate_keeper::try_admit(std::string_view customer)
+{
+    const auto found = customers_.find(customer);
+    if (found == customers_.end())
+    {
+        return true;
+    }
+    auto& state = found->second;
+    const auto now = clock::now();
+    if (!state.account.try_take(now))
+    {
+        return false;
+    }
+    ++state.counts.granted;
+    if (now - state.asked_at >= ask_interval && now >= state.exhausted_until &&
+        state.account.wanted(now) > 0)
+    {
+        ask(found->first, state);
+    }
+    return true;
+}
+
+awaitable<bool> rate_keeper::admit(std::string customer)
+{
+    if (try_admit(customer))
+    {
+        co_return true;
+    }
+    const auto until = clock::now() + longest_wait;
+    while (true)
+    {
+        const auto now = clock::now();
+        const auto found = customers_.find(customer);
+        if (found == customers_.end())
+        {
+            co_return true;
+        }
+        auto& state = found->second;
+        if (now >= until || now < state.exhausted_until)
+        {
+            ++state.counts.refused;
+            co_return false;
+        }
+        if (now - state.asked_at >= answer_time || state.waiters.empty())
+        {
+            ask(customer, state);
+        }
+        waiter entry(io_);
+        state.waiters.push_back(&entry);
+        entry.timer.expires_after(answer_time);
+        boost::system::error_code ignored;
+        co_await entry.timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+        const auto again = customers_.find(customer);
+        if (again != customers_.end())
+        {
+            again->second.waiters.remove(&entry);
+        }
+        if (try_admit(customer))
+        {
+            co_return true;
+        }
+    }
+}
+
+void rate_keeper::ask(const std::string& customer, customer_state& state)
+{
+    const auto now = clock::now();
+    const auto peers = hosts_.peers();
+    const auto wanted = std::max<std::uint32_t>(state.account.wanted(now), 1);
+    state.asked_at = now;
+    if (peers.empty() || state.account.capacity() < 1)
+    {
+        state.exhausted_until = now + exhausted_pause;
+        return;
+    }
+    const auto& peer = peers[next_peer_++ % peers.size()];
+    network_.send(peer, fmt::format("{} {} {}", word_ask, customer, wanted));
+}
+
+void rate_keeper::on_message(std::string_view from, std::string_view message)
+{
+    const auto word = take_word(message);
+    const auto customer = take_word(message);
+    std::uint32_t count = 0;
+    std::from_chars(message.data(), message.data() + message.size(), count);
+    const auto found = customers_.find(customer);
+    if (found == customers_.end())
+    {
+        return;
+    }
+    auto& state = found->second;
+    const auto now = clock::now();
+    if (word == word_ask)
+    {
+        const auto given = state.account.give(count, now);
+        state.counts.given += given;
+        network_.send(
+            from, fmt::format("{} {} {}", word_give, customer, given));
+        return;
+    }
+    if (word != word_give)
+    {
+        return;
+    }
+    if (count > 0)
+    {
+        state.empty_answers = 0;
+        state.counts.received += count;
+        state.account.receive(count, now);
+    }
+    else if (++state.empty_answers >= std::min(hosts_asked, hosts_.peers().size()))
+    {
+        state.empty_answers = 0;
+        state.exhausted_until = now + exhausted_pause;
+    }
+    for (auto* entry : state.waiters)
+    {
+        entry->timer.cancel();
+    }
+}
+
+awaitable<void> rate_keeper::adjust()
+{
+    asio::steady_timer timer(io_);
+    while (true)
+    {
+        timer.expires_after(adjust_pause);
+        co_await timer.async_wait(asio::use_awaitable);
+        const auto now = clock::now();
+        if (hosts_.valid_until() <= now)
+        {
+            apply_share();
+            continue;
+        }
+        auto change = planner_.on_tick(hosts_.hosts(), shares_, now);
+        if (change)
+        {
+            co_await write(std::move(*change));
+        }
+    }
+}
+
+awaitable<void> rate_keeper::write(share_change change)
+{
+    ceiling_ = std::min(shares_.of(host_), change.shares.of(host_));
+    if (ceiling_ == 0)
+    {
+        ceiling_ = rate_shares::whole;
+    }
+    apply_share();
+    store_transaction request;
+    request.expect.push_back({std::string(shares_key), revision_});
+    for (const auto& host : change.dropped)
+    {
+        request.expect.push_back({host_registry::key_of(host), 0});
+    }
+    request.writes.push_back(
+        {std::string(shares_key), encode(change.shares), 0});
+    const auto written = co_await store_.commit(request);
+    if (!written)
+    {
+        co_return;
+    }
+    ceiling_ = rate_shares::whole;
+    on_item({std::string(shares_key), encode(change.shares), *written});
+    events_.write(
+        "rate_shares_changed",
+        {{"hosts", change.shares.by_host.size()},
+         {"dropped", change.dropped.size()},
+         {"own", change.shares.of(host_)},
+         {"revision", *written}});
+}
+
+std::vector<rate_keeper::customer_numbers> rate_keeper::numbers() const
+{
+    std::vector<customer_numbers> all;
+    for (const auto& [name, customer] : customers_)
+    {
+        all.push_back(customer.counts);
+    }
+    return all;
+}
+
+} // namespace zinniahub::coordination
--- /dev/null
+++ b/src/coordination/rate_keeper.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "coordination/datagrams.hpp"
+#include "coordination/host_registry.hpp"
+#include "coordination/store.hpp"
+#include "observability/event_log.hpp"
+#include "pooling/front.hpp"
+
+#include <zinniahub/proxy_configuration.hpp>
+#include <zinniahub/rate_ledger.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <list>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace zinniahub::coordination
+{
+
+/// @brief Admits operations within the customers' limits.
+///
+/// The hosts' shares are one record in the store, which changes when hosts
+/// come and go. Between that, hosts ask one another for tokens in datagrams,
+/// so that the limit follows the load without the store.
+class rate_keeper : public pooling::admission
+{
+public:
+    rate_keeper(
+        boost::asio::io_context& io, store& target, datagrams& network,
+        const host_registry& hosts, std::string host, rate_allowance allowance,
+        log::event_log& events);
+
+    void start();
+
+    void on_configuration(const proxy_configuration& configuration);
+    /// @brief Applies an item below `state_prefix`.
+    void on_item(const stored_item& item);
+    /// @brief This host's registration has changed.
+    void on_lease();
+
+    awaitable<bool> admit(std::string customer) override;
+    bool try_admit(std::string_view customer) override;
+
+    struct customer_numbers
+    {
+        std::string customer;
+        double level = 0;
+        std::uint64_t granted = 0;
+        std::uint64_t refused = 0;
+        std::uint64_t received = 0;
+        std::uint64_t given = 0;
+    };
+    std::vector<customer_numbers> numbers() const;
+    std::uint32_t share() const
+    {
+        return shares_.of(host_);
+    }
+
+private:
+    struct waiter
+    {
+        explicit waiter(boost::asio::io_context& io)
+            : timer(io)
+        {
+        }
+        boost::asio::steady_timer timer;
+    };
+
+    struct customer_state
+    {
+        rate_account account;
+        /// Requests that wait for an answer of another host.
+        std::list<waiter*> waiters;
+        /// Until then all hosts are taken to have no tokens to give.
+        time_point exhausted_until = time_point::min();
+        time_point asked_at = time_point::min();
+        /// Answers without tokens since the last one with tokens.
+        std::size_t empty_answers = 0;
+        customer_numbers counts;
+    };
+
+    void ask(const std::string& customer, customer_state& state);
+    void on_message(std::string_view from, std::string_view message);
+    void apply_share();
+    awaitable<void> adjust();
+    awaitable<void> write(share_change change);
+
+    boost::asio::io_context& io_;
+    store& store_;
+    datagrams& network_;
+    const host_registry& hosts_;
+    std::string host_;
+    rate_allowance allowance_;
+    log::event_log& events_;
+    std::map<std::string, customer_state, std::less<>> customers_;
+    share_planner planner_;
+    rate_shares shares_;
+    std::uint64_t revision_ = 0;
+    /// Share that this host has given up before writing so.
+    std::uint32_t ceiling_ = rate_shares::whole;
+    std::size_t next_peer_ = 0;
+};
+
+} // namespace zinniahub::coordination
--- a/src/lib/rate_ledger.cpp
+++ b/src/lib/rate_ledger.cpp
@@ -9,15 +9,16 @@
 namespace
 {
 
-/// Interval over which the demand is measured.
-constexpr duration measure_interval = std::chrono::milliseconds(500);
+/// Part of the burst and tolerance that is given as rate: a bucket with a
+/// higher rate and a lower capacity keeps the same limit in each window and
+/// serves a steady load better.
+constexpr double burst_as_rate = 0.5;
 
-/// Weight of the newest measurement.
-constexpr double demand_weight = 0.5;
+/// Shares within this factor of the equal share are left alone.
+constexpr double share_slack = 1.1;
 
-/// A share is lowered only if it exceeds the wanted share by this factor, so
-/// that shares rest while the demand varies little.
-constexpr double surplus_factor = 2.0;
+/// A host asks for tokens when it holds less than this part of its capacity.
+constexpr double low_level = 0.3;
 
 } // namespace
 
@@ -37,144 +38,178 @@
     return found == by_host.end() ? 0 : found->second;
 }
 
-rate_share_holder::rate_share_holder(
-    settings values, rate_limit limit, time_point now)
-    : settings_(std::move(values))
+share_change share_planner::fill(
+    const std::set<std::string>& hosts, const rate_shares& shares,
+    bool only_self) const
+{
+    share_change change{shares, {}};
+    const auto target = static_cast<std::uint32_t>(
+        rate_shares::whole / (hosts.size() + settings_.spare));
+    std::uint32_t needed = 0;
+    for (const auto& host : hosts)
+    {
+        const auto held = shares.of(host);
+        const bool filled = only_self && host != settings_.host;
+        needed += filled || held >= target ? 0 : target - held;
+    }
+    auto free = rate_shares::whole - std::min(rate_shares::whole, shares.sum());
+    for (const auto& [host, share] : shares.by_host)
+    {
+        if (free >= needed || change.dropped.size() == settings_.max_dropped)
+        {
+            break;
+        }
+        if (!hosts.contains(host))
+        {
+            change.dropped.push_back(host);
+            change.shares.by_host.erase(host);
+            free += share;
+        }
+    }
+    for (const auto& host : hosts)
+    {
+        const auto held = change.shares.of(host);
+        if ((only_self && host != settings_.host) || held * share_slack >= target)
+        {
+            continue;
+        }
+        const auto added = std::min(free, target - held);
+        free -= added;
+        if (added > 0)
+        {
+            change.shares.by_host[host] = held + added;
+        }
+    }
+    return change;
+}
+
+std::optional<share_change> share_planner::on_tick(
+    const std::set<std::string>& hosts, const rate_shares& shares,
+    time_point now)
+{
+    if (hosts != hosts_)
+    {
+        hosts_ = hosts;
+        changed_at_ = now;
+    }
+    const auto held = shares.of(settings_.host);
+    if (held > 0)
+    {
+        without_share_since_.reset();
+    }
+    else if (!without_share_since_)
+    {
+        without_share_since_ = now;
+    }
+    if (!hosts.contains(settings_.host))
+    {
+        return std::nullopt;
+    }
+    const bool is_first = settings_.host == *hosts.begin();
+    const bool settled = now - changed_at_ >= settings_.settle_time;
+    const bool impatient =
+        without_share_since_ &&
+        now - *without_share_since_ >= settings_.patience;
+    if ((is_first && settled) || impatient)
+    {
+        auto change = fill(hosts, shares, !is_first);
+        if (change.shares.by_host != shares.by_host)
+        {
+            return change;
+        }
+    }
+    // Make room for hosts that have too little.
+    const auto target = static_cast<std::uint32_t>(
+        rate_shares::whole / (hosts.size() + settings_.spare));
+    const auto free =
+        rate_shares::whole - std::min(rate_shares::whole, shares.sum());
+    const bool others_lack = std::any_of(
+        hosts.begin(), hosts.end(), [&](const std::string& host)
+        { return shares.of(host) < target / 2; });
+    if (settled && others_lack && free < target && held > target * share_slack)
+    {
+        share_change change{shares, {}};
+        change.shares.by_host[settings_.host] = target;
+        return change;
+    }
+    return std::nullopt;
+}
+
+rate_account::rate_account(
+    rate_allowance allowance, rate_limit limit, time_point now)
+    : allowance_(allowance)
     , limit_(limit)
     , bucket_({0, 0}, now)
-    // Hosts that start together are all registered before the first claim.
-    , adjusted_at_(now)
-    , measured_at_(now)
 {
 }
 
-rate_limit rate_share_holder::limit_of(std::uint32_t share) const
+rate_limit rate_account::bucket_limit() const
 {
-    const double part = static_cast<double>(share) / rate_shares::whole;
-    const double overage = 1 + settings_.allowance.overage;
+    const double part = static_cast<double>(share_) / rate_shares::whole;
+    const double factor = 1 + allowance_.overage;
+    const double burst = limit_.burst * factor + allowance_.tolerance;
+    const double extra_rate =
+        burst * burst_as_rate / to_seconds(allowance_.window);
     return {
-        limit_.rate * overage * part,
-        (limit_.burst * overage + settings_.allowance.tolerance) * part};
+        (limit_.rate * factor + extra_rate) * part,
+        burst * (1 - burst_as_rate) * part};
 }
 
-void rate_share_holder::use_share(std::uint32_t share, time_point now)
+void rate_account::update(time_point now)
 {
-    share_ = share;
-    bucket_.set_limit(limit_of(share), now);
+    bucket_.set_limit(bucket_limit(), now);
 }
 
-void rate_share_holder::set_limit(rate_limit limit, time_point now)
+void rate_account::set_limit(rate_limit limit, time_point now)
 {
     limit_ = limit;
-    use_share(share_, now);
+    update(now);
 }
 
-bool rate_share_holder::try_take(time_point now)
+void rate_account::set_share(std::uint32_t share, time_point now)
 {
-    measure(now);
-    ++asked_;
-    if (now < valid_until_ && bucket_.try_take(1, now))
+    if (share != share_)
     {
-        return true;
+        share_ = share;
+        update(now);
     }
-    ++refused_;
-    denied_ = true;
-    return false;
 }
 
-void rate_share_holder::on_shares(
-    const rate_shares& shares, time_point lease_valid_until, time_point now)
+bool rate_account::try_take(time_point now)
 {
-    valid_until_ = lease_valid_until;
-    const auto share = shares.of(settings_.host);
-    if (share != share_)
-    {
-        use_share(share, now);
-    }
+    return bucket_.try_take(1, now);
 }
 
-void rate_share_holder::measure(time_point now)
+double rate_account::level(time_point now)
 {
-    const auto elapsed = now - measured_at_;
-    if (elapsed < measure_interval)
-    {
-        return;
-    }
-    const double rate = asked_ / to_seconds(elapsed);
-    demand_ += demand_weight * (rate - demand_);
-    asked_ = 0;
-    measured_at_ = now;
+    return bucket_.level(now);
 }
 
-std::uint32_t rate_share_holder::wanted_share(std::size_t hosts) const
+double rate_account::capacity() const
 {
-    const double equal =
-        static_cast<double>(rate_shares::whole) / static_cast<double>(hosts);
-    if (limit_.rate <= 0)
-    {
-        return static_cast<std::uint32_t>(equal);
-    }
-    const double needed =
-        demand_ * settings_.headroom / limit_.rate * rate_shares::whole;
-    // A quarter of an equal share stays, so that a first request is served.
-    return static_cast<std::uint32_t>(
-        std::min<double>(std::max(needed, equal / 4), rate_shares::whole));
+    return bucket_limit().burst;
 }
 
-std::optional<rate_shares> rate_share_holder::propose(
-    const rate_shares& shares, const std::set<std::string>& hosts,
-    time_point now)
+std::uint32_t rate_account::wanted(time_point now)
 {
-    measure(now);
-    if (now - adjusted_at_ < settings_.adjust_interval || hosts.empty())
-    {
-        return std::nullopt;
-    }
-    rate_shares next = shares;
-    std::erase_if(
-        next.by_host, [&](const auto& entry)
-        { return !hosts.contains(entry.first); });
-    const auto held = next.of(settings_.host);
-    const auto free = rate_shares::whole - std::min(
-                                               rate_shares::whole, next.sum());
-    const auto equal =
-        static_cast<std::uint32_t>(rate_shares::whole / hosts.size());
-    const auto wanted = wanted_share(hosts.size());
-    const bool others_wait =
-        free == 0 && std::any_of(
-                         hosts.begin(), hosts.end(),
-                         [&](const std::string& host)
-                         { return next.of(host) < equal / 4; });
-    std::uint32_t share = held;
-    if (held == 0)
-    {
-        share = std::min(free, std::max(wanted, equal));
-    }
-    else if (others_wait && held > equal)
-    {
-        share = std::max(equal, held - held / 10);
-    }
-    else if (wanted > held && denied_)
+    const double room = capacity() - level(now);
+    if (room < 1 || level(now) > low_level * capacity())
     {
-        share = held + std::min(free, wanted - held);
+        return 0;
     }
-    else if (held > equal / 2 && held > surplus_factor * wanted)
-    {
-        // Half of the surplus stays: the demand may come back.
-        share = std::max<std::uint32_t>((held + wanted) / 2, 1);
-    }
-    denied_ = false;
-    if (share == held)
-    {
-        return std::nullopt;
-    }
-    adjusted_at_ = now;
-    if (share < share_)
-    {
-        use_share(share, now);
-    }
-    next.by_host[settings_.host] = share;
-    return next;
+    return static_cast<std::uint32_t>(room);
+}
+
+std::uint32_t rate_account::give(std::uint32_t asked, time_point now)
+{
+    const auto offered = static_cast<std::uint32_t>(level(now) / 2);
+    const auto given = std::min(asked, offered);
+    return given > 0 && bucket_.try_take(given, now) ? given : 0;
+}
+
+void rate_account::receive(std::uint32_t tokens, time_point now)
+{
+    bucket_.put(tokens, now);
 }
 
 } // namespace zinniahub
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -223,28 +223,30 @@
     co_return answer;
 }
 
-std::optional<reply> client_session::refuse_operation(time_point now)
+awaitable<std::optional<reply>> client_session::refuse_operation()
 {
     const auto& configuration = *front_.configuration();
     const auto found = configuration.routes.find(database_);
     if (found == configuration.routes.end())
     {
         trace_.why = errc::group_unknown;
-        return refuse(reply_code::unknown_database, "no such database");
+        co_return refuse(reply_code::unknown_database, "no such database");
     }
     route_ = found->second;
     customer_ = front_.customer_of(*route_, key_);
     if (customer_.empty())
     {
         trace_.why = errc::key_invalid;
-        return refuse(reply_code::unauthorized, "unknown key");
+        co_return refuse(reply_code::unauthorized, "unknown key");
     }
-    if (!front_.rates().admit(customer_, now))
+    const bool admitted = co_await front_.rates().admit(customer_);
+    if (!admitted)
     {
         trace_.why = errc::rate_exceeded;
-        return refuse(reply_code::too_many, "rate exceeded, retry after 200 ms");
+        co_return refuse(
+            reply_code::too_many, "rate exceeded, retry after 200 ms");
     }
-    return std::nullopt;
+    co_return std::nullopt;
 }
 
 access_request client_session::make_request(const statement& value) const
@@ -263,9 +265,10 @@
 
 awaitable<reply> client_session::run_single(const statement& value)
 {
-    if (auto refusal = refuse_operation(trace_.started))
+    auto refusal = co_await refuse_operation();
+    if (refusal)
     {
-        co_return *refusal;
+        co_return std::move(*refusal);
     }
     auto request = make_request(value);
     const bool is_read = !writes(value);
@@ -294,7 +297,7 @@
         }
         // Each attempt that a member runs counts towards the rate.
         if (trace_.attempts > 1 &&
-            !front_.rates().admit(customer_, clock::now()))
+            !front_.rates().try_admit(customer_))
         {
             trace_.why = errc::rate_exceeded;
             break;
@@ -439,7 +442,8 @@
 awaitable<std::optional<reply>>
 client_session::open_transaction(const statement& value)
 {
-    if (auto refusal = refuse_operation(trace_.started))
+    auto refusal = co_await refuse_operation();
+    if (refusal)
     {
         co_return refusal;
     }
@@ -514,7 +518,8 @@
 {
     if (!connection_)
     {
-        if (auto refusal = co_await open_transaction(value))
+        auto refusal = co_await open_transaction(value);
+        if (refusal)
         {
             state_ = transaction_state::failed;
             co_return std::move(*refusal);
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -60,7 +60,7 @@
     awaitable<reply> run_data_statement(const statement& value);
 
     /// Checks the configuration in force, the key and the rate.
-    std::optional<reply> refuse_operation(time_point now);
+    awaitable<std::optional<reply>> refuse_operation();
     awaitable<reply> run_single(const statement& value);
     awaitable<std::optional<reply>> read_on_member(
         const statement& value, access_request& request,
--- a/src/pooling/front.hpp
+++ b/src/pooling/front.hpp
@@ -6,7 +6,6 @@
 #include "pooling/service_gateway.hpp"
 
 #include <zinniahub/proxy_configuration.hpp>
-#include <zinniahub/rate_ledger.hpp>
 #include <zinniahub/upstream_directory.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -40,8 +39,10 @@
 {
 public:
     virtual ~admission() = default;
-    /// @brief Takes the right to run one operation.
-    virtual bool admit(std::string_view customer, time_point now) = 0;
+    /// @brief Takes the right to run one operation, if this host has one.
+    virtual bool try_admit(std::string_view customer) = 0;
+    /// @brief As `try_admit`, but asks other hosts first, for some ms.
+    virtual awaitable<bool> admit(std::string customer) = 0;
 };
 
 /// @brief What all sessions of a host share: the configuration in force, the
--- a/tests/integration/integration-platform_path.cpp
+++ b/tests/integration/integration-platform_path.cpp
@@ -145,6 +145,8 @@
 // customers that share few connections.
 TEST_F(platform_path, serves_many_sessions_at_once)
 {
+    platform_.configure(2, {{"alba", "key-a"}, {"bea", "key-b"}}, 20000);
+    std::this_thread::sleep_for(500ms);
     wait_for_rates("key-b");
     std::atomic<int> failed{0};
     std::vector<std::thread> callers;
--- a/tests/support/hosted_proxy.cpp
+++ b/tests/support/hosted_proxy.cpp
@@ -139,6 +139,7 @@
         R"(node_name = "{}"
 zone = "zone-0"
 ip_address = "127.0.0.1"
+internal_port_range = [0, 0]
 [listen_addrs]
 frontend = "{}"
 ready = "{}"
