--- a/include/zinniahub/rate_ledger.hpp
+++ b/include/zinniahub/rate_ledger.hpp
@@ -36,9 +36,9 @@
 
 /// @brief Decides how the shares of the hosts change.
 ///
-/// Registered hosts get equal shares. A part is left free for hosts that come,
-/// because a share is taken away only from a host whose registration has
-/// ended. Only a host itself lowers its share, before it writes the lower one,
+/// Registered hosts get equal shares. Half a share is left free for a host that
+/// comes, because a share is taken away only from a host whose registration
+/// has ended. Only a host itself lowers its share, before it writes the lower one,
 /// and uses a higher share only after it was written, so the shares in use
 /// never exceed the whole.
 class share_planner
@@ -51,8 +51,6 @@
         duration settle_time = std::chrono::milliseconds(700);
         /// Time after which a host without a share adds itself.
         duration patience = std::chrono::milliseconds(1500);
-        /// Equal shares that are left free.
-        std::uint32_t spare = 2;
         /// Most shares that one change takes away.
         std::size_t max_dropped = 24;
     };
@@ -70,6 +68,7 @@
         time_point now);
 
 private:
+    static std::uint32_t equal_share(std::size_t hosts);
     share_change fill(
         const std::set<std::string>& hosts, const rate_shares& shares,
         bool only_self) const;
--- a/src/lib/rate_ledger.cpp
+++ b/src/lib/rate_ledger.cpp
@@ -9,10 +9,13 @@
 namespace
 {
 
-/// Part of the burst and tolerance that is given as rate: a bucket with a
-/// higher rate and a lower capacity keeps the same limit in each window and
-/// serves a steady load better.
-constexpr double burst_as_rate = 0.5;
+/// Part of a host's burst and tolerance that its bucket holds. The rest is
+/// given as rate: a higher rate and a lower capacity keep the same limit in
+/// each window and serve a steady load better.
+constexpr double held_part = 0.3;
+
+/// Tokens that a bucket holds at least, if the burst allows it.
+constexpr double min_capacity = 2;
 
 /// Shares within this factor of the equal share are left alone.
 constexpr double share_slack = 1.1;
@@ -38,13 +41,18 @@
     return found == by_host.end() ? 0 : found->second;
 }
 
+std::uint32_t share_planner::equal_share(std::size_t hosts)
+{
+    return static_cast<std::uint32_t>(
+        2 * rate_shares::whole / (2 * hosts + 1));
+}
+
 share_change share_planner::fill(
     const std::set<std::string>& hosts, const rate_shares& shares,
     bool only_self) const
 {
     share_change change{shares, {}};
-    const auto target = static_cast<std::uint32_t>(
-        rate_shares::whole / (hosts.size() + settings_.spare));
+    const auto target = equal_share(hosts.size());
     std::uint32_t needed = 0;
     for (const auto& host : hosts)
     {
@@ -119,8 +127,7 @@
         }
     }
     // Make room for hosts that have too little.
-    const auto target = static_cast<std::uint32_t>(
-        rate_shares::whole / (hosts.size() + settings_.spare));
+    const auto target = equal_share(hosts.size());
     const auto free =
         rate_shares::whole - std::min(rate_shares::whole, shares.sum());
     const bool others_lack = std::any_of(
@@ -147,12 +154,13 @@
 {
     const double part = static_cast<double>(share_) / rate_shares::whole;
     const double factor = 1 + allowance_.overage;
-    const double burst = limit_.burst * factor + allowance_.tolerance;
+    const double burst =
+        (limit_.burst * factor + allowance_.tolerance) * part;
+    const double capacity =
+        std::min(burst, std::max(min_capacity, held_part * burst));
     const double extra_rate =
-        burst * burst_as_rate / to_seconds(allowance_.window);
-    return {
-        (limit_.rate * factor + extra_rate) * part,
-        burst * (1 - burst_as_rate) * part};
+        (burst - capacity) / to_seconds(allowance_.window);
+    return {limit_.rate * factor * part + extra_rate, capacity};
 }
 
 void rate_account::update(time_point now)
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -29,6 +29,9 @@
 /// other successes are counted only.
 constexpr unsigned logged_attempts = 2;
 
+/// One in this many usual successes is logged.
+constexpr std::uint64_t sample_rate = 64;
+
 duration part_of(duration whole, double part)
 {
     return std::chrono::duration_cast<duration>(whole * part);
@@ -102,7 +105,7 @@
         co_return false;
     }
     busy_ = true;
-    trace_ = {clock::now(), {}, 0, errc::request_invalid};
+    trace_ = {.started = clock::now()};
     auto answer = co_await handle(*next);
     answer.state = state_;
     record(*next, answer);
@@ -289,11 +292,14 @@
             co_return std::move(*answer);
         }
         // Each attempt that a member runs counts towards the rate.
-        if (trace_.attempts > 1 &&
-            !front_.rates().try_admit(customer_))
+        if (std::exchange(trace_.may_have_run, false))
         {
-            trace_.why = errc::rate_exceeded;
-            break;
+            const bool admitted = co_await front_.rates().admit(customer_);
+            if (!admitted)
+            {
+                trace_.why = errc::rate_exceeded;
+                break;
+            }
         }
     }
     co_return refuse(reply_code::busy, "no member took the request");
@@ -331,6 +337,7 @@
         co_return refuse_unsent(lease.error().code, "no member is available");
     }
     trace_.instance = lease->instance();
+    trace_.connected = clock::now();
     const auto* prepared = prepared_for(value);
     if (!co_await lease->restore(values_, prepared, command_timeout))
     {
@@ -350,6 +357,7 @@
     {
         lease->close();
         trace_.why = answer.error().code;
+        trace_.may_have_run = true;
         request.excluded.push_back(trace_.instance);
         co_return std::nullopt;
     }
@@ -379,6 +387,7 @@
             lease.error().code, "the primary is not available");
     }
     trace_.instance = lease->instance();
+    trace_.connected = clock::now();
     const auto* prepared = prepared_for(value);
     if (!co_await lease->restore(values_, prepared, command_timeout))
     {
@@ -411,6 +420,7 @@
     {
         lease->close();
         trace_.why = answer.error().code;
+        trace_.may_have_run = true;
         if (!is_write)
         {
             co_return std::nullopt;
@@ -491,6 +501,7 @@
         co_return refuse_unsent(lease.error().code, "no member is available");
     }
     trace_.instance = lease->instance();
+    trace_.connected = clock::now();
     if (!gateway.may_use_open(lease->instance(), clock::now()))
     {
         co_return std::nullopt;
@@ -663,21 +674,22 @@
     ++numbers.counter_of(
         "zinniahub_replies_total{code=\"" +
         std::string(to_string(answer.code)) + "\"}");
-    if (!route_ || trace_.attempts == 0)
-    {
-        if (answer.ok())
-        {
-            return;
-        }
-    }
     const bool late = route_ && latency > route_->target_latency;
-    if (answer.ok() && !late && trace_.attempts <= logged_attempts)
+    const bool usual =
+        answer.ok() && !late && trace_.attempts <= logged_attempts;
+    if (usual && (trace_.attempts == 0 || ++successes_ % sample_rate != 0))
     {
         return;
     }
     const auto& configuration = front_.configuration();
+    const auto waited = trace_.connected == time_point{}
+                            ? latency
+                            : trace_.connected - trace_.started;
     front_.events().write(
-        answer.ok() ? (late ? "reply_late" : "reply_retried") : "reply_failed",
+        answer.ok() ? (late    ? "reply_late"
+                       : usual ? "reply_sampled"
+                               : "reply_retried")
+                    : "reply_failed",
         {{"id", value.id},
          {"database", database_},
          {"customer", customer_},
@@ -685,6 +697,7 @@
          {"why", answer.ok() ? "" : to_string(trace_.why)},
          {"instance", trace_.instance},
          {"attempts", trace_.attempts},
+         {"waited_ms", to_seconds(waited) * 1000},
          {"took_ms", to_seconds(latency) * 1000},
          {"configuration", configuration ? configuration->version : 0},
          {"text", answer.text}});
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -46,6 +46,10 @@
     {
         time_point started;
         std::string instance;
+        /// When the last attempt had its connection.
+        time_point connected{};
+        /// An attempt without an answer may have run.
+        bool may_have_run = false;
         unsigned attempts = 0;
         errc why = errc::request_invalid;
     };
@@ -103,6 +107,8 @@
     /// Latest position of the session's commits.
     log_position position_;
     trace trace_;
+    /// Successes of all sessions, to choose those that are logged.
+    static inline std::uint64_t successes_ = 0;
 };
 
 } // namespace zinniahub::pooling
--- a/src/pooling/front.cpp
+++ b/src/pooling/front.cpp
@@ -53,9 +53,13 @@
     {
         return;
     }
+    const std::string customer =
+        configuration_->customers.empty()
+            ? std::string{}
+            : configuration_->customers.begin()->first;
     for (const auto& [name, definition] : configuration_->services)
     {
-        gateway(name).set_definition(definition, hosts_);
+        gateway(name).set_definition(definition, hosts_, customer);
     }
 }
 
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -218,8 +218,13 @@
 }
 
 void service_gateway::set_definition(
-    service_definition definition, std::size_t hosts)
+    service_definition definition, std::size_t hosts,
+    std::string_view customer)
 {
+    if (last_customer_.empty())
+    {
+        last_customer_ = customer;
+    }
     definition_ = std::move(definition);
     hosts_ = std::max<std::size_t>(hosts, 1);
     for (auto& [instance, pool] : pools_)
@@ -785,6 +790,11 @@
 {
     const auto now = clock::now();
     probe_silent_members(now);
+    if (samples_.newest() == time_point::min())
+    {
+        // The first reads need a position.
+        start_sampling();
+    }
     for (auto entry = pools_.begin(); entry != pools_.end();)
     {
         const auto* member = member_of(entry->first);
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -110,7 +110,10 @@
         const upstream_directory& directory, service_definition definition,
         position_exchange& positions, log::event_log& events);
 
-    void set_definition(service_definition definition, std::size_t hosts);
+    /// @param customer whose connection the proxy's own commands may use
+    void set_definition(
+        service_definition definition, std::size_t hosts,
+        std::string_view customer);
 
     /// @brief Takes a connection to the primary.
     awaitable<result<connection_lease>> take_primary(access_request& request);
