Route reads by the members' lag

Change: the lag of a member is measured from its positions; a member that lacked a position is not tried twice; the log names the member's answer; the renewal of the duty depends on any answer of the store.

--- a/include/zinniahub/leader_samples.hpp
+++ b/include/zinniahub/leader_samples.hpp
@@ -64,6 +64,37 @@
         return std::nullopt;
     }
 
+    /// @brief Latest known time up to which a log covers the primary's: it has
+    /// every commit acknowledged before. min() if no sample tells.
+    /// @param position end of the log
+    /// @complexity linear in the samples kept
+    time_point covered_until(log_position position) const
+    {
+        for (auto entry = samples_.rbegin(); entry != samples_.rend(); ++entry)
+        {
+            if (entry->position <= position)
+            {
+                return entry->sent_at;
+            }
+        }
+        return time_point::min();
+    }
+
+    /// @brief When the primary is first known to have had a position; `now` if
+    /// it is newer than all samples.
+    /// @complexity linear in the samples kept
+    time_point reached_at(log_position position, time_point now) const
+    {
+        for (const auto& value : samples_)
+        {
+            if (value.position >= position)
+            {
+                return value.sent_at;
+            }
+        }
+        return now;
+    }
+
     /// @brief When the newest sample was taken; `time_point::min()` if none.
     time_point newest() const
     {
--- a/src/coordination/promotion_duty.cpp
+++ b/src/coordination/promotion_duty.cpp
@@ -99,7 +99,7 @@
         }
         if (lease_id_ != 0)
         {
-            if (now >= next_renewal && store_answered_at_ >= unanswered_since_)
+            if (now >= next_renewal && store_.answered_at() >= unanswered_since_)
             {
                 next_renewal = now + settings_.renew_interval;
                 co_await renew();
@@ -155,6 +155,13 @@
         co_return;
     }
     unanswered_since_ = ttl ? time_point::min() : clock::now();
+    if (!ttl)
+    {
+        events_.write(
+            "duty_renewal_failed",
+            {{"error", to_string(ttl.error().code)},
+             {"detail", ttl.error().detail}});
+    }
     if (ttl)
     {
         lease_.on_granted(sent_at, *ttl);
--- a/src/coordination/promotion_duty.hpp
+++ b/src/coordination/promotion_duty.hpp
@@ -63,11 +63,6 @@
     {
         eligible_ = eligible;
     }
-    /// @brief The store has answered this host.
-    void on_store_answered(time_point now)
-    {
-        store_answered_at_ = now;
-    }
 
     bool is_holder(time_point now) const
     {
@@ -135,7 +130,6 @@
     std::uint64_t orders_ = 0;
     bool leaving_ = false;
     bool eligible_ = true;
-    time_point store_answered_at_ = time_point::min();
     /// Since when a renewal has no answer. Renewals may arrive although answers
     /// do not, and would keep the duty from a host that can use it.
     time_point unanswered_since_ = time_point::min();
--- a/src/coordination/store.hpp
+++ b/src/coordination/store.hpp
@@ -93,6 +93,9 @@
     /// @brief @return the lifetime from the arrival of the call
     virtual awaitable<result<duration>> renew(std::uint64_t lease) = 0;
     virtual awaitable<result<void>> end(std::uint64_t lease) = 0;
+
+    /// @brief Last time at which the store answered anything; min() before.
+    virtual time_point answered_at() const = 0;
 };
 
 /// @brief Orders promotions; see `failover_planner`.
--- a/src/coordination/store_follower.cpp
+++ b/src/coordination/store_follower.cpp
@@ -69,7 +69,6 @@
             {{"prefix", settings_.prefix}, {"failures", failures_}});
     }
     failures_ = 0;
-    answered_at_ = clock::now();
     confirmed_at_ = std::max(confirmed_at_, asked_at);
 }
 
--- a/src/coordination/store_follower.hpp
+++ b/src/coordination/store_follower.hpp
@@ -25,7 +25,7 @@
         std::string prefix;
         /// Longest wait of one watch. A watch that the network lost is noticed
         /// this late.
-        duration watch_wait = std::chrono::milliseconds(1200);
+        duration watch_wait = std::chrono::milliseconds(1700);
         /// Time between two watches, in which changes gather.
         duration pause = std::chrono::milliseconds(0);
     };
@@ -52,12 +52,6 @@
         return confirmed_at_;
     }
 
-    /// @brief Last time at which the store answered; min() before the first.
-    time_point answered_at() const
-    {
-        return answered_at_;
-    }
-
 private:
     awaitable<void> follow();
     awaitable<bool> list();
@@ -73,7 +67,6 @@
     log::event_log& events_;
     std::uint64_t at_ = 0;
     time_point confirmed_at_ = time_point::min();
-    time_point answered_at_ = time_point::min();
     unsigned failures_ = 0;
 };
 
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -300,6 +300,7 @@
     const auto* primary = current_primary(now);
     if (primary != nullptr && primary->status->term > old_term_)
     {
+        stalled_since_.reset();
         phase_ = phase::steady;
         return;
     }
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -361,6 +361,7 @@
         request.excluded.push_back(trace_.instance);
         co_return std::nullopt;
     }
+    trace_.member_code = answer->code;
     switch (answer->code)
     {
     case reply_code::unknown_prepared:
@@ -406,6 +407,7 @@
             {.kind = command_kind::begin}, command_timeout);
         if (!begun || !begun->ok())
         {
+            trace_.member_code = begun ? begun->code : reply_code::timeout;
             if (!begun)
             {
                 lease->close();
@@ -430,6 +432,7 @@
                                                        : reply_code::in_doubt,
             "no answer of the member");
     }
+    trace_.member_code = answer->code;
     if (answer->ok())
     {
         gateway.on_primary_proved(lease->instance(), sent_at, answer->position);
@@ -520,6 +523,7 @@
     }
     if (!begun->ok())
     {
+        trace_.member_code = begun->code;
         request.excluded.push_back(trace_.instance);
         co_return std::nullopt;
     }
@@ -696,6 +700,7 @@
          {"code", to_string(answer.code)},
          {"why", answer.ok() ? "" : to_string(trace_.why)},
          {"instance", trace_.instance},
+         {"member_code", to_string(trace_.member_code)},
          {"attempts", trace_.attempts},
          {"waited_ms", to_seconds(waited) * 1000},
          {"took_ms", to_seconds(latency) * 1000},
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -50,6 +50,8 @@
         time_point connected{};
         /// An attempt without an answer may have run.
         bool may_have_run = false;
+        /// Answer of the member to the last attempt.
+        reply_code member_code = reply_code::none;
         unsigned attempts = 0;
         errc why = errc::request_invalid;
     };
--- a/src/pooling/member_pool.cpp
+++ b/src/pooling/member_pool.cpp
@@ -20,8 +20,8 @@
 /// Idle time after which a connection beyond those kept is closed.
 constexpr duration surplus_idle = std::chrono::milliseconds(200);
 
-/// Time for which a member that lacked a position is not asked for one.
-constexpr duration behind_pause = std::chrono::milliseconds(100);
+/// Age up to which a member's lag counts. Then it is tried again.
+constexpr duration lag_validity = std::chrono::milliseconds(500);
 
 /// Time for which a member that refused a write is not taken for the primary.
 constexpr duration not_primary_pause = std::chrono::milliseconds(250);
@@ -161,20 +161,19 @@
     close_all_idle();
 }
 
+duration member_pool::lag(time_point now) const
+{
+    const bool known = lag_known_at_ != time_point::min() &&
+                       now - lag_known_at_ <= lag_validity;
+    return known ? lag_ : duration::zero();
+}
+
 void member_pool::on_answer(const reply& value, time_point now)
 {
     answered_at_ = now;
     suspect_time_ = duration::zero();
     suspect_until_ = time_point::min();
-    if (value.position)
-    {
-        position_ = *value.position;
-    }
-    if (value.code == reply_code::behind)
-    {
-        behind_until_ = now + behind_pause;
-    }
-    else if (value.code == reply_code::read_only)
+    if (value.code == reply_code::read_only)
     {
         not_primary_until_ = now + not_primary_pause;
     }
--- a/src/pooling/member_pool.hpp
+++ b/src/pooling/member_pool.hpp
@@ -128,10 +128,13 @@
     {
         calls_.erase(calls_.find(sent_at));
     }
-    /// @brief True after the member lacked a position.
-    bool is_behind(time_point now) const
+    /// @brief How far the member's log is behind the primary's, from its last
+    /// answer; zero if that is too old to tell.
+    duration lag(time_point now) const;
+    void set_lag(duration value, time_point now)
     {
-        return now < behind_until_;
+        lag_ = value;
+        lag_known_at_ = now;
     }
     /// @brief True after the member said that it is not the primary.
     bool denied_primary(time_point now) const
@@ -147,11 +150,6 @@
     {
         return idle_.size() + in_use_;
     }
-    /// @brief Last position that the member reported.
-    log_position position() const
-    {
-        return position_;
-    }
 
 private:
     void suspect(time_point now);
@@ -169,9 +167,9 @@
     duration full_time_{};
     time_point suspect_until_ = time_point::min();
     duration suspect_time_{};
-    time_point behind_until_ = time_point::min();
+    duration lag_{};
+    time_point lag_known_at_ = time_point::min();
     time_point not_primary_until_ = time_point::min();
-    log_position position_;
 };
 
 } // namespace zinniahub::pooling
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -106,6 +106,7 @@
     if (answer)
     {
         pool.on_answer(*answer, clock::now());
+        gateway_->note_lag(pool, *answer);
     }
     else
     {
@@ -315,19 +316,46 @@
     return members;
 }
 
+void service_gateway::note_lag(member_pool& pool, const reply& answer) const
+{
+    if (!answer.position)
+    {
+        return;
+    }
+    const auto now = clock::now();
+    const auto newest = samples_.position();
+    if (!newest)
+    {
+        return;
+    }
+    duration lag = duration::zero();
+    if (*answer.position < *newest)
+    {
+        const auto covered = samples_.covered_until(*answer.position);
+        lag = covered == time_point::min() ? leader_samples::longest_bound
+                                           : now - covered;
+    }
+    pool.set_lag(lag, now);
+}
+
 std::vector<const upstream_state*> service_gateway::read_candidates(
     const access_request& request, log_position position, time_point now) const
 {
     struct candidate
     {
-        std::tuple<bool, bool, int, std::uint32_t, std::uint64_t> cost;
+        std::tuple<int, std::uint32_t, std::uint64_t> cost;
         const upstream_state* member;
     };
     std::vector<candidate> ranked;
     std::uint64_t turn = ticket_;
+    const auto reached_at = samples_.reached_at(position, now);
     for (const auto& [instance, member] : directory_.members())
     {
-        if (member.record.service != definition_.name ||
+        const auto excluded = std::find(
+                                  request.excluded.begin(),
+                                  request.excluded.end(),
+                                  instance) != request.excluded.end();
+        if (member.record.service != definition_.name || excluded ||
             !directory_.accepts_new(member, now))
         {
             continue;
@@ -336,24 +364,19 @@
         const auto found = pools_.find(instance);
         if (found == pools_.end())
         {
-            ranked.push_back({{false, false, 1, 0, turn % 3}, &member});
+            ranked.push_back({{1, 0, turn % 3}, &member});
             continue;
         }
         const auto& pool = found->second;
-        if (pool.is_suspect(now))
+        const bool primary = instance == primary_;
+        if (pool.is_suspect(now) ||
+            (!primary && pool.lag(now) > now - reached_at))
         {
             continue;
         }
-        const bool primary = instance == primary_;
-        const bool behind =
-            !primary && pool.is_behind(now) && pool.position() < position;
         const auto access = pool.availability_for(request.customer, now);
-        const auto excluded = std::find(
-                                  request.excluded.begin(),
-                                  request.excluded.end(),
-                                  instance) != request.excluded.end();
         ranked.push_back(
-            {{excluded, behind, static_cast<int>(access),
+            {{static_cast<int>(access),
               2 * pool.in_use() + (primary ? 1U : 0U), turn % 3},
              &member});
     }
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -36,7 +36,7 @@
     /// As `wait_until`, while no member is usable or requests have been
     /// waiting for long.
     time_point wait_until_busy = never;
-    /// Members that this request has tried in vain.
+    /// Members that this request has tried in vain; they are not tried again.
     std::vector<std::string> excluded;
 };
 
@@ -207,6 +207,7 @@
     std::vector<const upstream_state*> read_candidates(
         const access_request& request, log_position position,
         time_point now) const;
+    void note_lag(member_pool& pool, const reply& answer) const;
     awaitable<result<connection_lease>> take(
         access_request& request, purpose use, log_position position);
     /// A connection that a request waits for while it is being opened.
