--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -134,8 +134,7 @@
 
     /// @brief A query or hold got no answer.
     /// @param refused nobody listens at the member's address
-    void
-    on_no_status(std::string_view instance, bool refused, time_point now);
+    void on_no_status(std::string_view instance, bool refused, time_point now);
 
     void on_order_result(order_result result, time_point now);
 
--- a/include/zinniahub/rate_ledger.hpp
+++ b/include/zinniahub/rate_ledger.hpp
@@ -38,8 +38,8 @@
 ///
 /// Registered hosts get equal shares. Half a share is left free for a host that
 /// comes, because a share is taken away only from a host whose registration
-/// has ended. Only a host itself lowers its share, before it writes the lower one,
-/// and uses a higher share only after it was written, so the shares in use
+/// has ended. Only a host itself lowers its share, before it writes the lower
+/// one, and uses a higher share only after it was written, so the shares in use
 /// never exceed the whole.
 class share_planner
 {
--- a/include/zinniahub/session_values.hpp
+++ b/include/zinniahub/session_values.hpp
@@ -54,8 +54,8 @@
     /// the prepared statement that runs next.
     /// @param needed prepared statement to be run, or null
     /// @complexity linear in the number of values
-    restore_plan plan(
-        const session_values& session, const prepared_statement* needed) const;
+    restore_plan
+    plan(const session_values& session, const prepared_statement* needed) const;
 
     void on_discarded();
     void on_set(const std::string& name, const std::string& value);
--- a/include/zinniahub/upstream_directory.hpp
+++ b/include/zinniahub/upstream_directory.hpp
@@ -63,8 +63,9 @@
         duration notice_delay = std::chrono::milliseconds(2500);
         /// Use of a member whose registration is missing.
         duration missing_grace = std::chrono::milliseconds(2500);
-        /// Time for which a missing member is remembered.
-        duration remember_missing = std::chrono::seconds(15);
+        /// Time for which a missing member is remembered. It may hold the only
+        /// copy of a commit and come back after a long partition.
+        duration remember_missing = std::chrono::seconds(60);
     };
 
     explicit upstream_directory(settings values)
@@ -94,6 +95,10 @@
     bool accepts_new(const upstream_state& member, time_point now) const;
     /// @brief True while statements of started operations may be sent.
     bool accepts_open(const upstream_state& member, time_point now) const;
+    /// @brief True if the member has left for good: it announced that it leaves
+    /// before its registration ended, or another member has its address. Its
+    /// log went to its successor.
+    bool has_left(const upstream_state& member) const;
     /// @brief True if the failure domain is out of service.
     bool is_evacuated(std::string_view domain) const
     {
--- a/src/control/configuration_sync.cpp
+++ b/src/control/configuration_sync.cpp
@@ -1,8 +1,8 @@
 #include "control/configuration_sync.hpp"
 
 #include "control/resource_codec.hpp"
-#include "observability/log.hpp"
 #include "kv/keys.hpp"
+#include "observability/log.hpp"
 
 #include <utility>
 
@@ -177,8 +177,7 @@
     for (const auto& record : changes.records)
     {
         auto* entry = reply.add_records();
-        entry->set_key(
-            kv::key_of(kv::configuration_prefix, record.key));
+        entry->set_key(kv::key_of(kv::configuration_prefix, record.key));
         entry->set_revision(record.revision);
         entry->set_deleted(!record.value.has_value());
         const auto value = values_.find(entry->key());
--- a/src/control/configuration_sync.hpp
+++ b/src/control/configuration_sync.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "observability/metrics.hpp"
 #include "kv/platform_client.hpp"
+#include "observability/metrics.hpp"
 #include "zinniahub/v1/peer.pb.h"
 
 #include <zinniahub/configuration.hpp>
--- a/src/control/fleet_sync.cpp
+++ b/src/control/fleet_sync.cpp
@@ -233,8 +233,8 @@
 
 void fleet_sync::put_domain_report(std::string value, std::uint64_t revision)
 {
-    const auto key = kv::key_of(
-        kv::observed_prefix, settings_.self.failure_domain);
+    const auto key =
+        kv::key_of(kv::observed_prefix, settings_.self.failure_domain);
     v1::PutRequest request;
     request.set_key(key);
     request.set_value(std::move(value));
--- a/src/control/owner_planner.cpp
+++ b/src/control/owner_planner.cpp
@@ -40,8 +40,7 @@
 
 std::string owner_planner::delegate_key() const
 {
-    return kv::key_of(
-        kv::delegate_prefix, settings_.self.failure_domain);
+    return kv::key_of(kv::delegate_prefix, settings_.self.failure_domain);
 }
 
 bool owner_planner::is_mine(const owner_record& candidate) const
--- a/src/control/ownership.cpp
+++ b/src/control/ownership.cpp
@@ -1,7 +1,7 @@
 #include "control/ownership.hpp"
 
-#include "observability/log.hpp"
 #include "kv/keys.hpp"
+#include "observability/log.hpp"
 
 #include <utility>
 #include <variant>
@@ -197,8 +197,8 @@
 
 std::string ownership::delegate_of(std::string_view failure_domain) const
 {
-    const auto* found = planner_.find(
-        kv::key_of(kv::delegate_prefix, failure_domain));
+    const auto* found =
+        planner_.find(kv::key_of(kv::delegate_prefix, failure_domain));
     return found == nullptr ? std::string() : found->owner.host;
 }
 
--- a/src/coordination/host_registry.cpp
+++ b/src/coordination/host_registry.cpp
@@ -118,7 +118,8 @@
         co_return false;
     }
     store_transaction change;
-    change.writes.push_back({key_of(settings_.host), settings_.address, lease->id});
+    change.writes.push_back(
+        {key_of(settings_.host), settings_.address, lease->id});
     const auto written = co_await store_.commit(change);
     if (!written)
     {
--- a/src/coordination/position_keeper.cpp
+++ b/src/coordination/position_keeper.cpp
@@ -40,8 +40,8 @@
         word_question, [this](std::string_view from, std::string_view text)
         { on_question(from, text); });
     network_.on_message(
-        word_answer, [this](std::string_view, std::string_view text)
-        { on_answer(text); });
+        word_answer,
+        [this](std::string_view, std::string_view text) { on_answer(text); });
 }
 
 void position_keeper::ask_position(const std::string& service)
@@ -62,8 +62,7 @@
     }
 }
 
-void position_keeper::on_question(
-    std::string_view from, std::string_view text)
+void position_keeper::on_question(std::string_view from, std::string_view text)
 {
     const auto service = take_word(text);
     const auto number = take_number(text);
--- a/src/coordination/promotion_duty.cpp
+++ b/src/coordination/promotion_duty.cpp
@@ -99,7 +99,8 @@
         }
         if (lease_id_ != 0)
         {
-            if (now >= next_renewal && store_.answered_at() >= unanswered_since_)
+            if (now >= next_renewal &&
+                store_.answered_at() >= unanswered_since_)
             {
                 next_renewal = now + settings_.renew_interval;
                 co_await renew();
@@ -108,9 +109,9 @@
         }
         // An earlier process of this host has ended, so its duty is free.
         const bool own = holder_ == settings_.host;
-        const bool vacant = holder_.empty() &&
-                            (free_since_ == never ||
-                             now - free_since_ >= settings_.claim_delay);
+        const bool vacant =
+            holder_.empty() && (free_since_ == never ||
+                                now - free_since_ >= settings_.claim_delay);
         if (own || vacant)
         {
             co_await claim();
@@ -158,9 +159,8 @@
     if (!ttl)
     {
         events_.write(
-            "duty_renewal_failed",
-            {{"error", to_string(ttl.error().code)},
-             {"detail", ttl.error().detail}});
+            "duty_renewal_failed", {{"error", to_string(ttl.error().code)},
+                                    {"detail", ttl.error().detail}});
     }
     if (ttl)
     {
@@ -222,7 +222,8 @@
     std::vector<replication_member> members;
     for (const auto& [instance, member] : directory_.members())
     {
-        if (member.record.service == definition.name)
+        if (member.record.service == definition.name &&
+            !directory_.has_left(member))
         {
             members.push_back(
                 {instance, member.leaving, member.missing_since != never});
@@ -290,8 +291,7 @@
         }
         return;
     }
-    asio::co_spawn(
-        io_, ask_member(name, instance, command), asio::detached);
+    asio::co_spawn(io_, ask_member(name, instance, command), asio::detached);
 }
 
 awaitable<void> promotion_duty::ask_member(
@@ -321,8 +321,8 @@
         }
         else
         {
-            refused = opened.error().why ==
-                      pooling::connect_failure::reason::refused;
+            refused =
+                opened.error().why == pooling::connect_failure::reason::refused;
             link.reset();
         }
     }
@@ -343,8 +343,7 @@
     control->link = std::move(link);
     if (answer && answer->ok() && answer->status_row)
     {
-        state.planner.on_status(
-            instance, *answer->status_row, sent_at, now);
+        state.planner.on_status(instance, *answer->status_row, sent_at, now);
     }
     else if (!answer)
     {
@@ -359,8 +358,8 @@
     }
 }
 
-awaitable<result<std::uint64_t>> promotion_duty::token_for(
-    service_state& service, const std::string& instance)
+awaitable<result<std::uint64_t>>
+promotion_duty::token_for(service_state& service, const std::string& instance)
 {
     const bool unused = service.token != revision_;
     const bool repeated = service.token != 0 && service.ordered == instance;
@@ -373,8 +372,7 @@
     }
     store_transaction change;
     change.expect.push_back({std::string(duty_key), revision_});
-    change.writes.push_back(
-        {std::string(duty_key), settings_.host, lease_id_});
+    change.writes.push_back({std::string(duty_key), settings_.host, lease_id_});
     const auto epoch = lease_.epoch();
     const auto written = co_await store_.commit(change);
     if (written && epoch == lease_.epoch() && lease_id_ != 0)
@@ -391,8 +389,7 @@
 {
     const auto epoch = lease_.epoch();
     auto outcome = order_result::unknown;
-    const auto token =
-        co_await token_for(services_[service], value.instance);
+    const auto token = co_await token_for(services_[service], value.instance);
     if (epoch != lease_.epoch() || !is_holder(clock::now()))
     {
         co_return;
@@ -413,12 +410,13 @@
         outcome = order_result::refused;
     }
     events_.write(
-        "promotion_ordered", {{"service", service},
-                              {"instance", value.instance},
-                              {"confirms", value.confirms_primary},
-                              {"token", token ? *token : 0},
-                              {"outcome", static_cast<int>(outcome)},
-                              {"error", code == errc{} ? "" : to_string(code)}});
+        "promotion_ordered",
+        {{"service", service},
+         {"instance", value.instance},
+         {"confirms", value.confirms_primary},
+         {"token", token ? *token : 0},
+         {"outcome", static_cast<int>(outcome)},
+         {"error", code == errc{} ? "" : to_string(code)}});
     const auto found = services_.find(service);
     if (found != services_.end() && epoch == lease_.epoch())
     {
--- a/src/coordination/rate_keeper.cpp
+++ b/src/coordination/rate_keeper.cpp
@@ -5,10 +5,10 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <charconv>
+#include <nlohmann/json.hpp>
 
 namespace zinniahub::coordination
 {
@@ -82,8 +82,8 @@
         word_ask, [this](std::string_view from, std::string_view text)
         { on_question(from, text); });
     network_.on_message(
-        word_give, [this](std::string_view, std::string_view text)
-        { on_answer(text); });
+        word_give,
+        [this](std::string_view, std::string_view text) { on_answer(text); });
 }
 
 void rate_keeper::start()
@@ -106,15 +106,17 @@
         auto& added =
             customers_
                 .emplace(
-                    name,
-                    customer_state{rate_account(allowance_, limit, now)})
+                    name, customer_state{rate_account(allowance_, limit, now)})
                 .first->second;
         added.counts.customer = name;
     }
     std::erase_if(
-        customers_, [&configuration](const auto& entry)
-        { return !configuration.customers.contains(entry.first) &&
-                 entry.second.waiters.empty(); });
+        customers_,
+        [&configuration](const auto& entry)
+        {
+            return !configuration.customers.contains(entry.first) &&
+                   entry.second.waiters.empty();
+        });
     apply_share();
 }
 
@@ -147,9 +149,8 @@
 {
     const auto now = clock::now();
     // Without a registration the share may belong to another host.
-    const auto share = hosts_.valid_until() > now
-                           ? std::min(shares_.of(host_), ceiling_)
-                           : 0;
+    const auto share =
+        hosts_.valid_until() > now ? std::min(shares_.of(host_), ceiling_) : 0;
     for (auto& [name, customer] : customers_)
     {
         customer.account.set_share(share, now);
@@ -265,8 +266,7 @@
     const auto given = state.account.give(message.count, clock::now());
     state.counts.given += given;
     network_.send(
-        from,
-        fmt::format("{} {} {}", word_give, state.counts.customer, given));
+        from, fmt::format("{} {} {}", word_give, state.counts.customer, given));
 }
 
 void rate_keeper::on_answer(std::string_view text)
@@ -285,7 +285,8 @@
         state.counts.received += count;
         state.account.receive(count, now);
     }
-    else if (++state.empty_answers >= std::min(hosts_asked, hosts_.peers().size()))
+    else if (
+        ++state.empty_answers >= std::min(hosts_asked, hosts_.peers().size()))
     {
         state.empty_answers = 0;
         state.exhausted_until = now + exhausted_pause;
@@ -341,11 +342,10 @@
     ceiling_ = rate_shares::whole;
     on_item({std::string(shares_key), encode(change.shares), *written});
     events_.write(
-        "rate_shares_changed",
-        {{"hosts", change.shares.by_host.size()},
-         {"dropped", change.dropped.size()},
-         {"own", change.shares.of(host_)},
-         {"revision", *written}});
+        "rate_shares_changed", {{"hosts", change.shares.by_host.size()},
+                                {"dropped", change.dropped.size()},
+                                {"own", change.shares.of(host_)},
+                                {"revision", *written}});
 }
 
 std::vector<rate_keeper::customer_numbers> rate_keeper::numbers() const
--- a/src/coordination/store_follower.hpp
+++ b/src/coordination/store_follower.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "coordination/store.hpp"
-
 #include "observability/event_log.hpp"
 
 #include <boost/asio/io_context.hpp>
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -41,8 +41,7 @@
 }
 
 void failover_planner::on_members(
-    const std::vector<replication_member>& members,
-    std::uint32_t sync_replicas)
+    const std::vector<replication_member>& members, std::uint32_t sync_replicas)
 {
     sync_replicas_ = sync_replicas;
     std::erase_if(
@@ -50,7 +49,8 @@
         [&members](const auto& entry)
         {
             return std::none_of(
-                members.begin(), members.end(), [&entry](const auto& member)
+                members.begin(), members.end(),
+                [&entry](const auto& member)
                 { return member.instance == entry.first; });
         });
     for (const auto& member : members)
@@ -184,8 +184,7 @@
         return !members_.empty() &&
                std::all_of(
                    members_.begin(), members_.end(),
-                   [this, now](const auto& entry)
-                   {
+                   [this, now](const auto& entry) {
                        return is_fresh(entry.second, now) &&
                               !entry.second.status->primary;
                    });
@@ -317,7 +316,8 @@
     {
         return;
     }
-    const bool ready = sync_replicas_ == 0 || hold_others(steps, *candidate, now);
+    const bool ready =
+        sync_replicas_ == 0 || hold_others(steps, *candidate, now);
     if (ready && now >= next_order_)
     {
         order_pending_ = true;
--- a/src/lib/rate_ledger.cpp
+++ b/src/lib/rate_ledger.cpp
@@ -43,8 +43,7 @@
 
 std::uint32_t share_planner::equal_share(std::size_t hosts)
 {
-    return static_cast<std::uint32_t>(
-        2 * rate_shares::whole / (2 * hosts + 1));
+    return static_cast<std::uint32_t>(2 * rate_shares::whole / (2 * hosts + 1));
 }
 
 share_change share_planner::fill(
@@ -77,7 +76,8 @@
     for (const auto& host : hosts)
     {
         const auto held = change.shares.of(host);
-        if ((only_self && host != settings_.host) || held * share_slack >= target)
+        if ((only_self && host != settings_.host) ||
+            held * share_slack >= target)
         {
             continue;
         }
@@ -115,9 +115,8 @@
     }
     const bool is_first = settings_.host == *hosts.begin();
     const bool settled = now - changed_at_ >= settings_.settle_time;
-    const bool impatient =
-        without_share_since_ &&
-        now - *without_share_since_ >= settings_.patience;
+    const bool impatient = without_share_since_ &&
+                           now - *without_share_since_ >= settings_.patience;
     if ((is_first && settled) || impatient)
     {
         auto change = fill(hosts, shares, !is_first);
@@ -131,8 +130,8 @@
     const auto free =
         rate_shares::whole - std::min(rate_shares::whole, shares.sum());
     const bool others_lack = std::any_of(
-        hosts.begin(), hosts.end(), [&](const std::string& host)
-        { return shares.of(host) < target / 2; });
+        hosts.begin(), hosts.end(),
+        [&](const std::string& host) { return shares.of(host) < target / 2; });
     if (settled && others_lack && free < target && held > target * share_slack)
     {
         share_change change{shares, {}};
@@ -154,8 +153,7 @@
 {
     const double part = static_cast<double>(share_) / rate_shares::whole;
     const double factor = 1 + allowance_.overage;
-    const double burst =
-        (limit_.burst * factor + allowance_.tolerance) * part;
+    const double burst = (limit_.burst * factor + allowance_.tolerance) * part;
     const double capacity =
         std::min(burst, std::max(min_capacity, held_part * burst));
     const double extra_rate =
--- a/src/lib/session_values.cpp
+++ b/src/lib/session_values.cpp
@@ -16,7 +16,8 @@
     restore_plan steps;
     // Values cannot be removed one by one.
     steps.discard = std::any_of(
-        values_.begin(), values_.end(), [&session](const auto& entry)
+        values_.begin(), values_.end(),
+        [&session](const auto& entry)
         { return !session.values.contains(entry.first); });
     for (const auto& [name, value] : session.values)
     {
--- a/src/lib/upstream_directory.cpp
+++ b/src/lib/upstream_directory.cpp
@@ -88,6 +88,22 @@
         });
 }
 
+bool upstream_directory::has_left(const upstream_state& member) const
+{
+    if (member.missing_since == never)
+    {
+        return false;
+    }
+    return member.record.draining ||
+           std::any_of(
+               members_.begin(), members_.end(),
+               [&member](const auto& entry)
+               {
+                   return entry.second.missing_since == never &&
+                          entry.second.record.address == member.record.address;
+               });
+}
+
 bool upstream_directory::accepts_new(
     const upstream_state& member, time_point now) const
 {
--- a/src/observability/event_log.cpp
+++ b/src/observability/event_log.cpp
@@ -1,12 +1,12 @@
 #include "observability/event_log.hpp"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <chrono>
 #include <fcntl.h>
 #include <iterator>
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 namespace zinniahub::log
@@ -65,9 +65,8 @@
     }
     auto& lines = found->second;
     lines.lines = std::min<double>(
-        settings_.burst,
-        lines.lines +
-            to_seconds(now - lines.filled_at) * settings_.lines_per_second);
+        settings_.burst, lines.lines + to_seconds(now - lines.filled_at) *
+                                           settings_.lines_per_second);
     lines.filled_at = now;
     if (lines.lines < 1 || pending_.size() > max_pending_bytes)
     {
@@ -95,7 +94,8 @@
     const value_writer writer{pending_};
     fmt::format_to(
         std::back_inserter(pending_), R"({{"ts":{},"up_ms":{},"node":"{}")",
-        unix_ms(), clock::now().time_since_epoch() / std::chrono::milliseconds(1),
+        unix_ms(),
+        clock::now().time_since_epoch() / std::chrono::milliseconds(1),
         settings_.node);
     pending_ += R"(,"event":)";
     writer(kind);
--- a/src/observability/event_log.hpp
+++ b/src/observability/event_log.hpp
@@ -97,8 +97,8 @@
 
     bool take(std::string_view kind, time_point now);
     void report_dropped(std::string_view kind, budget& lines);
-    void append_line(
-        std::string_view kind, std::initializer_list<field> fields);
+    void
+    append_line(std::string_view kind, std::initializer_list<field> fields);
     void flush();
 
     settings settings_;
--- a/src/operator/apply.cpp
+++ b/src/operator/apply.cpp
@@ -43,8 +43,7 @@
 
 /// @brief Reads a resource; one that does not exist has revision 0.
 result<stored_resource> read_or_empty(
-    kv::platform_store& store, const resource_kind& kind,
-    std::string_view name)
+    kv::platform_store& store, const resource_kind& kind, std::string_view name)
 {
     auto stored = read_resource(store, kind, name);
     if (!stored && stored.error().code == errc::not_found)
@@ -75,9 +74,8 @@
 }
 
 /// @brief Writes `value` over the state that was read before.
-result<applied> write(
-    kv::platform_store& store, stored_resource current,
-    v1::Resource value)
+result<applied>
+write(kv::platform_store& store, stored_resource current, v1::Resource value)
 {
     if (const auto valid = validate(value); !valid)
         return tl::make_unexpected(valid.error());
@@ -314,8 +312,8 @@
 }
 
 result<applied> apply_key(
-    kv::platform_store& store, std::string_view customer,
-    std::string_view id, std::string_view key, expected_revision expected)
+    kv::platform_store& store, std::string_view customer, std::string_view id,
+    std::string_view key, expected_revision expected)
 {
     if (key.size() < min_key_length || key.size() > max_key_length)
     {
@@ -374,8 +372,8 @@
 }
 
 result<std::uint64_t> withdraw_resource(
-    kv::platform_store& store, const resource_kind& kind,
-    std::string_view name, expected_revision expected)
+    kv::platform_store& store, const resource_kind& kind, std::string_view name,
+    expected_revision expected)
 {
     const auto stored = read_resource(store, kind, name);
     if (!stored)
@@ -387,8 +385,8 @@
 }
 
 result<applied> withdraw_key(
-    kv::platform_store& store, std::string_view customer,
-    std::string_view id, expected_revision expected)
+    kv::platform_store& store, std::string_view customer, std::string_view id,
+    expected_revision expected)
 {
     const auto change = [&](v1::Resource& value) -> result<void>
     {
--- a/src/operator/apply.hpp
+++ b/src/operator/apply.hpp
@@ -63,8 +63,8 @@
 /// @return `errc::already_exists` if the id names another key or another
 /// customer has the same key
 result<applied> apply_key(
-    kv::platform_store& store, std::string_view customer,
-    std::string_view id, std::string_view key, expected_revision expected);
+    kv::platform_store& store, std::string_view customer, std::string_view id,
+    std::string_view key, expected_revision expected);
 
 result<applied> apply_domain(
     kv::platform_store& store, std::string_view name, bool in_service,
@@ -78,13 +78,13 @@
 /// @brief Removes a resource. @return the revision of the removal, 0 if it is
 /// not known because the answer was lost
 result<std::uint64_t> withdraw_resource(
-    kv::platform_store& store, const resource_kind& kind,
-    std::string_view name, expected_revision expected);
+    kv::platform_store& store, const resource_kind& kind, std::string_view name,
+    expected_revision expected);
 
 /// @brief Removes the digest of a key from a customer.
 result<applied> withdraw_key(
-    kv::platform_store& store, std::string_view customer,
-    std::string_view id, expected_revision expected);
+    kv::platform_store& store, std::string_view customer, std::string_view id,
+    expected_revision expected);
 
 /// @brief Makes a key of 32 random bytes in hexadecimal form.
 result<std::string> generate_key();
--- a/src/operator/read_command.cpp
+++ b/src/operator/read_command.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-result<std::vector<stored_resource>> read_kinds(
-    kv::platform_store& store, const std::vector<std::string>& names)
+result<std::vector<stored_resource>>
+read_kinds(kv::platform_store& store, const std::vector<std::string>& names)
 {
     std::vector<resource_kind> kinds(
         resource_kinds().begin(), resource_kinds().end());
--- a/src/operator/resource.cpp
+++ b/src/operator/resource.cpp
@@ -1,8 +1,8 @@
 #include "operator/resource.hpp"
 
 #include "control/resource_codec.hpp"
-#include "operator/json.hpp"
 #include "kv/keys.hpp"
+#include "operator/json.hpp"
 
 #include <fmt/format.h>
 
@@ -155,8 +155,7 @@
 }
 
 result<stored_resource> read_resource(
-    kv::platform_store& store, const resource_kind& kind,
-    std::string_view name)
+    kv::platform_store& store, const resource_kind& kind, std::string_view name)
 {
     v1::GetRequest request;
     request.set_key(kv::key_of(kind.prefix, name));
--- a/src/operator/store_options.cpp
+++ b/src/operator/store_options.cpp
@@ -54,8 +54,7 @@
             fmt::format(
                 "--platform: \"{}\", needed: IP:port", options.platform));
     }
-    return kv::blocking_platform_client::make(
-        options.platform, call_timeout);
+    return kv::blocking_platform_client::make(options.platform, call_timeout);
 }
 
 result<parsed_arguments> parse_counted(
--- a/src/operator/store_options.hpp
+++ b/src/operator/store_options.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "kv/platform_client.hpp"
 #include "operator/command_line.hpp"
 #include "operator/output.hpp"
-#include "kv/platform_client.hpp"
 
 #include <memory>
 #include <string>
--- a/src/operator/watch.cpp
+++ b/src/operator/watch.cpp
@@ -2,8 +2,8 @@
 
 #include "control/report_codec.hpp"
 #include "control/resource_codec.hpp"
-#include "operator/json.hpp"
 #include "kv/keys.hpp"
+#include "operator/json.hpp"
 
 #include <fmt/format.h>
 
@@ -99,8 +99,7 @@
     return watched;
 }
 
-result<fleet_view>
-read_fleet(kv::platform_store& store, std::uint64_t now_ms)
+result<fleet_view> read_fleet(kv::platform_store& store, std::uint64_t now_ms)
 {
     const auto hosts = store.list_hosts();
     if (!hosts)
--- a/src/operator/watch.hpp
+++ b/src/operator/watch.hpp
@@ -40,8 +40,7 @@
     std::uint64_t at_least = 0);
 
 /// @brief Reads the host list and the reports of the failure domains.
-result<fleet_view>
-read_fleet(kv::platform_store& store, std::uint64_t now_ms);
+result<fleet_view> read_fleet(kv::platform_store& store, std::uint64_t now_ms);
 
 std::string to_json(const watched_resource& watched);
 
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -208,8 +208,7 @@
 
 awaitable<reply> client_session::run_data_statement(const statement& value)
 {
-    if (value.kind == statement_kind::execute &&
-        prepared_for(value) == nullptr)
+    if (value.kind == statement_kind::execute && prepared_for(value) == nullptr)
     {
         co_return refuse(
             reply_code::unknown_prepared, "no such prepared statement");
@@ -317,8 +316,8 @@
                : position;
 }
 
-awaitable<std::optional<reply>> client_session::read_on_member(
-    const statement& value, access_request& request)
+awaitable<std::optional<reply>>
+client_session::read_on_member(const statement& value, access_request& request)
 {
     auto& gateway = front_.gateway(route_->service);
     auto required = co_await gateway.wait_for_position(
@@ -376,8 +375,8 @@
     }
 }
 
-awaitable<std::optional<reply>> client_session::run_on_primary(
-    const statement& value, access_request& request)
+awaitable<std::optional<reply>>
+client_session::run_on_primary(const statement& value, access_request& request)
 {
     auto& gateway = front_.gateway(route_->service);
     auto lease = co_await gateway.take_primary(request);
@@ -403,8 +402,8 @@
     {
         // Only the primary begins a transaction that may write, so the read
         // cannot run on a member that was replaced.
-        const auto begun = co_await lease->run(
-            {.kind = command_kind::begin}, command_timeout);
+        const auto begun =
+            co_await lease->run({.kind = command_kind::begin}, command_timeout);
         if (!begun || !begun->ok())
         {
             trace_.member_code = begun ? begun->code : reply_code::timeout;
@@ -511,8 +510,8 @@
     }
     const auto sent_at = clock::now();
     const auto begun = co_await lease->run(
-        {.kind = on_primary ? command_kind::begin
-                            : command_kind::begin_read_only,
+        {.kind =
+             on_primary ? command_kind::begin : command_kind::begin_read_only,
          .wait_for = required},
         command_timeout);
     if (!begun)
@@ -558,8 +557,8 @@
     const auto* prepared = is_commit ? nullptr : prepared_for(value);
     if (!is_commit)
     {
-        const auto restored = co_await connection_.restore(
-            values_, prepared, command_timeout);
+        const auto restored =
+            co_await connection_.restore(values_, prepared, command_timeout);
         if (!restored)
         {
             co_return on_transaction_failure(restored.error(), false);
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -21,8 +21,8 @@
 {
 public:
     client_session(
-        front& owner, std::shared_ptr<client_stream> stream, std::string database,
-        std::string customer, std::string key);
+        front& owner, std::shared_ptr<client_stream> stream,
+        std::string database, std::string customer, std::string key);
 
     /// @brief Serves the client until it leaves.
     awaitable<void> run();
--- a/src/pooling/front.cpp
+++ b/src/pooling/front.cpp
@@ -15,7 +15,8 @@
 front::front(
     asio::io_context& io, member_connector& connector,
     const upstream_directory& directory, admission& rates,
-    position_exchange& positions, log::event_log& events, metrics::registry& numbers)
+    position_exchange& positions, log::event_log& events,
+    metrics::registry& numbers)
     : io_(io)
     , connector_(connector)
     , directory_(directory)
@@ -53,10 +54,9 @@
     {
         return;
     }
-    const std::string customer =
-        configuration_->customers.empty()
-            ? std::string{}
-            : configuration_->customers.begin()->first;
+    const std::string customer = configuration_->customers.empty()
+                                     ? std::string{}
+                                     : configuration_->customers.begin()->first;
     for (const auto& [name, definition] : configuration_->services)
     {
         gateway(name).set_definition(definition, hosts_, customer);
@@ -69,14 +69,13 @@
     if (found == nullptr)
     {
         found = std::make_unique<service_gateway>(
-            io_, connector_, directory_, service_definition{service}, positions_,
-            events_);
+            io_, connector_, directory_, service_definition{service},
+            positions_, events_);
     }
     return *found;
 }
 
-std::string
-front::customer_of(const route& where, std::string_view key) const
+std::string front::customer_of(const route& where, std::string_view key) const
 {
     const auto* customer = configuration_->keys.customer_of(key);
     if (customer != nullptr)
--- a/src/pooling/front.hpp
+++ b/src/pooling/front.hpp
@@ -55,7 +55,8 @@
     front(
         boost::asio::io_context& io, member_connector& connector,
         const upstream_directory& directory, admission& rates,
-        position_exchange& positions, log::event_log& events, metrics::registry& numbers);
+        position_exchange& positions, log::event_log& events,
+        metrics::registry& numbers);
     ~front();
 
     /// @brief Puts a configuration in force. Older versions have no effect.
@@ -96,8 +97,7 @@
     /// use the route.
     std::string customer_of(const route& where, std::string_view key) const;
     service_gateway& gateway(const std::string& service);
-    const std::map<
-        std::string, std::unique_ptr<service_gateway>, std::less<>>&
+    const std::map<std::string, std::unique_ptr<service_gateway>, std::less<>>&
     gateways() const
     {
         return gateways_;
--- a/src/pooling/member_pool.cpp
+++ b/src/pooling/member_pool.cpp
@@ -32,7 +32,8 @@
 member_pool::availability_for(std::string_view customer, time_point now) const
 {
     const bool has_idle = std::any_of(
-        idle_.begin(), idle_.end(), [customer](const pooled_ptr& entry)
+        idle_.begin(), idle_.end(),
+        [customer](const pooled_ptr& entry)
         { return entry->customer == customer; });
     if (has_idle)
     {
@@ -48,8 +49,8 @@
     return idle_.empty() ? availability::none : availability::replace;
 }
 
-pooled_ptr member_pool::take_idle(
-    std::string_view customer, const session_values& session)
+pooled_ptr
+member_pool::take_idle(std::string_view customer, const session_values& session)
 {
     auto best = idle_.end();
     for (auto entry = idle_.begin(); entry != idle_.end(); ++entry)
--- a/src/pooling/ports.hpp
+++ b/src/pooling/ports.hpp
@@ -6,13 +6,12 @@
 #include <zinniahub/time.hpp>
 
 // Boost 1.74 uses std::exchange in awaitable.hpp without its header.
-#include <utility>
-
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace zinniahub::pooling
 {
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -219,8 +219,7 @@
 }
 
 void service_gateway::set_definition(
-    service_definition definition, std::size_t hosts,
-    std::string_view customer)
+    service_definition definition, std::size_t hosts, std::string_view customer)
 {
     if (last_customer_.empty())
     {
@@ -239,8 +238,8 @@
     const auto limit = definition_.max_connections;
     const auto share = limit / static_cast<std::uint32_t>(hosts_);
     return {
-        std::max<std::uint32_t>(share, 1), std::max<std::uint32_t>(share / 2, 1),
-        limit};
+        std::max<std::uint32_t>(share, 1),
+        std::max<std::uint32_t>(share / 2, 1), limit};
 }
 
 member_pool& service_gateway::pool_of(const std::string& instance)
@@ -305,7 +304,8 @@
         ranked.push_back({{rank, member.primary_since}, &member});
     }
     std::sort(
-        ranked.begin(), ranked.end(), [](const auto& left, const auto& right)
+        ranked.begin(), ranked.end(),
+        [](const auto& left, const auto& right)
         { return left.first > right.first; });
     std::vector<const upstream_state*> members;
     members.reserve(ranked.size());
@@ -351,10 +351,10 @@
     const auto reached_at = samples_.reached_at(position, now);
     for (const auto& [instance, member] : directory_.members())
     {
-        const auto excluded = std::find(
-                                  request.excluded.begin(),
-                                  request.excluded.end(),
-                                  instance) != request.excluded.end();
+        const auto excluded =
+            std::find(
+                request.excluded.begin(), request.excluded.end(), instance) !=
+            request.excluded.end();
         if (member.record.service != definition_.name || excluded ||
             !directory_.accepts_new(member, now))
         {
@@ -376,8 +376,8 @@
         }
         const auto access = pool.availability_for(request.customer, now);
         ranked.push_back(
-            {{static_cast<int>(access),
-              2 * pool.in_use() + (primary ? 1U : 0U), turn % 3},
+            {{static_cast<int>(access), 2 * pool.in_use() + (primary ? 1U : 0U),
+              turn % 3},
              &member});
     }
     std::sort(
@@ -620,8 +620,8 @@
     return samples_.required(now, max_staleness - staleness_margin);
 }
 
-awaitable<std::optional<log_position>> service_gateway::wait_for_position(
-    duration max_staleness, time_point until)
+awaitable<std::optional<log_position>>
+service_gateway::wait_for_position(duration max_staleness, time_point until)
 {
     while (true)
     {
@@ -756,17 +756,18 @@
     for (auto& [instance, pool] : pools_)
     {
         const auto* member = member_of(instance);
-        const bool silent =
-            now - pool.waiting_since() > silence_limit &&
-            now - pool.answered_at() > silence_limit;
+        const bool silent = now - pool.waiting_since() > silence_limit &&
+                            now - pool.answered_at() > silence_limit;
         const bool down = pool.is_unreachable() && !pool.is_suspect(now);
         if (member != nullptr && (silent || down) && !last_customer_.empty() &&
             directory_.accepts_open(*member, now) &&
             probing_.insert(instance).second)
         {
             asio::co_spawn(
-                io_, probe({definition_.name, member->record.address, instance,
-                            last_customer_}),
+                io_,
+                probe(
+                    {definition_.name, member->record.address, instance,
+                     last_customer_}),
                 asio::detached);
         }
     }
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -208,8 +208,8 @@
         const access_request& request, log_position position,
         time_point now) const;
     void note_lag(member_pool& pool, const reply& answer) const;
-    awaitable<result<connection_lease>> take(
-        access_request& request, purpose use, log_position position);
+    awaitable<result<connection_lease>>
+    take(access_request& request, purpose use, log_position position);
     /// A connection that a request waits for while it is being opened.
     struct opening
     {
--- a/src/serve/proxy_server.cpp
+++ b/src/serve/proxy_server.cpp
@@ -1,7 +1,7 @@
 #include "serve/proxy_server.hpp"
 
-#include "observability/log.hpp"
 #include "kv/keys.hpp"
+#include "observability/log.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -136,8 +136,7 @@
     , exit_timer_(io_)
     , traffic_(values.host.traffic_threads)
     , policy_(make_policy(values))
-    , platform_(
-          kv::async_platform_client::make(io_, values.platform.address))
+    , platform_(kv::async_platform_client::make(io_, values.platform.address))
     , peers_(io_, values.peer_routes)
     , configuration_(
           io_, *platform_, values.platform.call_timeout, metrics_,
--- a/tests/integration/integration-drain.cpp
+++ b/tests/integration/integration-drain.cpp
@@ -156,7 +156,7 @@
     load_options six_callers;
     six_callers.callers = 6;
     load traffic(system, six_callers);
-    const auto begin = std::chrono::steady_clock::now();
+    const auto begin = zinniahub::clock::now();
     for (std::size_t i = 0; i < options.proxies; ++i)
     {
         system.proxy(i).terminate();
@@ -172,7 +172,7 @@
             << "proxy " << i;
     }
     traffic.stop();
-    const auto end = std::chrono::steady_clock::now();
+    const auto end = zinniahub::clock::now();
     EXPECT_GT(count_failed(traffic.records(), errc::draining), 0u);
     EXPECT_GT(traffic.done_operations(), 200u);
     EXPECT_EQ(traffic.failed_operations(), 0u);
--- a/tests/integration/integration-platform_path.cpp
+++ b/tests/integration/integration-platform_path.cpp
@@ -133,8 +133,7 @@
     line_caller oversize(proxy_->address());
     ASSERT_TRUE(oversize.start("latest", "key-a").ok());
     EXPECT_EQ(
-        oversize.send_raw("QUERY 1 PUT item " + std::string(1200000, 'x'))
-            .code,
+        oversize.send_raw("QUERY 1 PUT item " + std::string(1200000, 'x')).code,
         "TOOLARGE");
     line_caller caller(proxy_->address());
     EXPECT_TRUE(caller.start("latest", "key-a").ok());
--- a/tests/integration/integration-standins.cpp
+++ b/tests/integration/integration-standins.cpp
@@ -32,7 +32,7 @@
 
 using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
-using steady_clock = zinniahub::clock;
+using std::chrono::steady_clock;
 
 constexpr std::uint64_t group_uid = 7;
 
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -536,8 +536,7 @@
     }
     constexpr std::uint64_t shards = 16;
     const auto owners = owners_of(std::string(kv::rate_prefix));
-    const auto found =
-        owners.find(kv::key_of(kv::rate_prefix, hash % shards));
+    const auto found = owners.find(kv::key_of(kv::rate_prefix, hash % shards));
     for (std::size_t i = 0; i < proxies_.size() && found != owners.end(); ++i)
     {
         if (proxies_[i].name == found->second)
--- a/tests/support/hosted_member.cpp
+++ b/tests/support/hosted_member.cpp
@@ -34,7 +34,8 @@
 log_position parse(const std::string& text)
 {
     const auto dot = text.find('.');
-    return {std::stoull(text.substr(0, dot)), std::stoull(text.substr(dot + 1))};
+    return {
+        std::stoull(text.substr(0, dot)), std::stoull(text.substr(dot + 1))};
 }
 
 } // namespace
@@ -110,8 +111,7 @@
         "READY {} {}\r\n", session.state, position_text(log_locked().received));
 }
 
-std::string
-hosted_member::refuse(connection& session, const std::string& code)
+std::string hosted_member::refuse(connection& session, const std::string& code)
 {
     if (session.state == 'T')
     {
@@ -152,8 +152,7 @@
     return "COMPLETE -\r\n" + ready(session);
 }
 
-std::string
-hosted_member::commit(connection& session, const std::string& id)
+std::string hosted_member::commit(connection& session, const std::string& id)
 {
     if (session.state != 'T')
     {
@@ -173,8 +172,16 @@
         log.rows.push_back(row);
     }
     shared_->runs.push_back(
-        {id, "COMMIT", session.customer, instance_, session.values, {}, true,
-         log.primary, true, log.received});
+        {id,
+         "COMMIT",
+         session.customer,
+         instance_,
+         session.values,
+         {},
+         true,
+         log.primary,
+         true,
+         log.received});
     shared_->replicate_locked();
     session.pending.clear();
     session.state = 'I';
@@ -194,8 +201,16 @@
         return refuse(session, "READONLY");
     }
     hosted_run run{
-        id, text, session.customer, instance_, session.values, shape,
-        session.state == 'T', log.primary, false, log.received};
+        id,
+        text,
+        session.customer,
+        instance_,
+        session.values,
+        shape,
+        session.state == 'T',
+        log.primary,
+        false,
+        log.received};
     std::string rows;
     if (is_write)
     {
@@ -356,8 +371,8 @@
         {
             std::this_thread::sleep_for(std::chrono::milliseconds(work_ms_));
         }
-        const auto bytes = greeted ? answer(line, session)
-                                   : greet(line, session);
+        const auto bytes =
+            greeted ? answer(line, session) : greet(line, session);
         const bool system = line.starts_with("QUERY - ");
         if (greeted && lose_answers_ && !system)
         {
--- a/tests/support/hosted_proxy.cpp
+++ b/tests/support/hosted_proxy.cpp
@@ -167,8 +167,7 @@
         log_path_);
 }
 
-unsigned
-hosted_proxy::get(const std::string& target, std::string* body) const
+unsigned hosted_proxy::get(const std::string& target, std::string* body) const
 {
     asio::io_context io;
     tcp::socket socket(io);
--- a/tests/support/hosted_store.cpp
+++ b/tests/support/hosted_store.cpp
@@ -21,8 +21,7 @@
 {
 
 /// Value of a field in the query of a target.
-std::string
-query_field(const std::string& target, const std::string& name)
+std::string query_field(const std::string& target, const std::string& name)
 {
     const auto start = target.find(name + "=");
     if (start == std::string::npos)
@@ -36,7 +35,8 @@
     {
         if (text[at] == '%')
         {
-            out += static_cast<char>(std::stoi(text.substr(at + 1, 2), nullptr, 16));
+            out += static_cast<char>(
+                std::stoi(text.substr(at + 1, 2), nullptr, 16));
             at += 2;
         }
         else
@@ -166,7 +166,8 @@
     // Small pages, so that tests cover paging.
     constexpr std::size_t page = 4;
     answer out;
-    out.body = {{"items", json::array()}, {"has_more", false}, {"at", revision_}};
+    out.body = {
+        {"items", json::array()}, {"has_more", false}, {"at", revision_}};
     for (const auto& [key, value] : items_)
     {
         if (!key.starts_with(prefix) || (!after.empty() && key <= after))
@@ -240,7 +241,8 @@
     for (const auto& entry : body["expect"])
     {
         const auto found = items_.find(entry["key"].get<std::string>());
-        const auto revision = found == items_.end() ? 0 : found->second.revision;
+        const auto revision =
+            found == items_.end() ? 0 : found->second.revision;
         if (revision != entry["revision"].get<std::uint64_t>())
         {
             return {412, {{"items", json::array()}}};
@@ -283,7 +285,8 @@
 {
     if (target.starts_with("/kv-range"))
     {
-        return range(query_field(target, "prefix"), query_field(target, "after"));
+        return range(
+            query_field(target, "prefix"), query_field(target, "after"));
     }
     if (target.starts_with("/kv-watch"))
     {
--- a/tests/support/hosted_store.hpp
+++ b/tests/support/hosted_store.hpp
@@ -2,8 +2,6 @@
 
 #include "support/hosted_server.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -11,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -105,9 +104,9 @@
     };
 
     void serve(hosted_server::socket& peer);
-    answer
-    handle(const std::string& method, const std::string& target,
-           const std::string& body, const promotion& order);
+    answer handle(
+        const std::string& method, const std::string& target,
+        const std::string& body, const promotion& order);
     answer range(const std::string& prefix, const std::string& after);
     answer
     watch(const std::string& prefix, std::uint64_t after, std::int64_t wait_ms);
--- a/tests/unit/unit-operator.cpp
+++ b/tests/unit/unit-operator.cpp
@@ -1,10 +1,10 @@
 #include "fake_platform_store.hpp"
+#include "kv/keys.hpp"
 #include "operator/apply.hpp"
 #include "operator/command_line.hpp"
 #include "operator/exec.hpp"
 #include "operator/json.hpp"
 #include "operator/watch.hpp"
-#include "kv/keys.hpp"
 #include "zinniahub/v1/caller.grpc.pb.h"
 
 #include <fmt/format.h>
--- /dev/null
+++ b/tests/unit/unit-platform_line.cpp
@@ -0,0 +1,142 @@
+#include "platform/line_codec.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+using namespace zinniahub;
+using namespace zinniahub::platform;
+using pooling::reply_code;
+using pooling::statement_kind;
+using pooling::transaction_state;
+
+// Guards against statements that are taken for another kind.
+TEST(platform_line, decodes_each_kind_of_statement)
+{
+    struct expectation
+    {
+        const char* text;
+        statement_kind kind;
+        const char* name;
+        const char* argument;
+    };
+    const std::vector<expectation> table{
+        {"BEGIN", statement_kind::begin, "", ""},
+        {"BEGIN FETCH", statement_kind::begin_read_only, "", ""},
+        {"BEGIN NOW", statement_kind::invalid, "", ""},
+        {"COMMIT", statement_kind::commit, "", ""},
+        {"ROLLBACK", statement_kind::rollback, "", ""},
+        {"FETCH 1a4", statement_kind::read, "", ""},
+        {"FETCH", statement_kind::invalid, "", ""},
+        {"PUT 1a4 some data", statement_kind::write, "", ""},
+        {"SET colour dark red", statement_kind::set_value, "colour",
+         "dark red"},
+        {"PREPARE s1 PUT q2c", statement_kind::prepare_write, "s1", "q2c"},
+        {"PREPARE s1 FETCH q2c", statement_kind::prepare_read, "s1", "q2c"},
+        {"PREPARE s1 DROP q2c", statement_kind::invalid, "s1", "q2c"},
+        {"PREPARE s1", statement_kind::invalid, "s1", ""},
+        {"EXECUTE s1 1a4 x", statement_kind::execute, "s1", "1a4 x"},
+        {"DEALLOCATE s1", statement_kind::deallocate, "s1", ""},
+        {"WAITLSN 1.2 FETCH a", statement_kind::invalid, "", ""},
+        {"", statement_kind::invalid, "", ""},
+    };
+    for (const auto& row : table)
+    {
+        const auto decoded = decode_statement("7", row.text);
+        EXPECT_EQ(decoded.kind, row.kind) << row.text;
+        EXPECT_EQ(decoded.name, row.name) << row.text;
+        EXPECT_EQ(decoded.argument, row.argument) << row.text;
+        EXPECT_EQ(decoded.text, row.text);
+    }
+}
+
+// Guards against a forwarded text that differs from the client's.
+TEST(platform_line, forwards_the_text_unchanged)
+{
+    EXPECT_EQ(
+        encode_query("7", "FETCH  1a4 ", std::nullopt),
+        "QUERY 7 FETCH  1a4 \r\n");
+    EXPECT_EQ(
+        encode_query("7", "FETCH 1a4", log_position{3, 1207}),
+        "QUERY 7 WAITLSN 3.1207 FETCH 1a4\r\n");
+}
+
+// Guards against a reply whose parts are lost or mixed up.
+TEST(platform_line, decodes_replies)
+{
+    reply_decoder decoder;
+    EXPECT_EQ(decoder.on_line("DATAROW qhz kwm"), false);
+    EXPECT_EQ(decoder.on_line("COMPLETE 7.1f3"), false);
+    EXPECT_EQ(decoder.on_line("READY T 3.1209"), true);
+    const auto value = decoder.take();
+    EXPECT_TRUE(value.ok());
+    EXPECT_EQ(value.rows, std::vector<std::string>{"qhz kwm"});
+    EXPECT_EQ(value.signature, "7.1f3");
+    EXPECT_EQ(value.state, transaction_state::open);
+    EXPECT_EQ(value.position, (log_position{3, 1209}));
+
+    EXPECT_EQ(decoder.on_line("ERROR READONLY i-7f"), false);
+    EXPECT_EQ(decoder.on_line("READY E -"), true);
+    const auto failed = decoder.take();
+    EXPECT_EQ(failed.code, reply_code::read_only);
+    EXPECT_EQ(failed.state, transaction_state::failed);
+    EXPECT_FALSE(failed.position);
+}
+
+// Guards against an answer that is cut or belongs to another request.
+TEST(platform_line, refuses_lines_outside_a_reply)
+{
+    reply_decoder decoder;
+    EXPECT_FALSE(decoder.on_line("READY I -"));
+    reply_decoder twice;
+    EXPECT_TRUE(twice.on_line("COMPLETE x"));
+    EXPECT_FALSE(twice.on_line("COMPLETE y"));
+    EXPECT_FALSE(twice.on_line("DATAROW z"));
+    reply_decoder garbage;
+    EXPECT_FALSE(garbage.on_line("\x01\xff"));
+}
+
+// Guards against an unknown code that is taken for a promise.
+TEST(platform_line, unknown_error_promises_nothing)
+{
+    reply_decoder decoder;
+    EXPECT_TRUE(decoder.on_line("ERROR SOMETHING new"));
+    EXPECT_TRUE(decoder.on_line("READY I -"));
+    EXPECT_EQ(decoder.take().code, reply_code::failed);
+}
+
+// Guards against a status row that is read with shifted fields.
+TEST(platform_line, decodes_status_rows)
+{
+    const auto status = parse_status_row("replica 3 3.1209 5 12 2 17");
+    ASSERT_TRUE(status);
+    EXPECT_FALSE(status->primary);
+    EXPECT_EQ(status->term, 3U);
+    EXPECT_EQ(status->received, (log_position{3, 1209}));
+    EXPECT_EQ(status->held_term, 5U);
+    for (const auto* row :
+         {"", "leader 3 3.1 0", "replica x 3.1 0", "replica 3 31 0",
+          "replica 3 3.1 x", "replica 3"})
+    {
+        EXPECT_FALSE(parse_status_row(row)) << row;
+    }
+}
+
+// Guards against an exit on any bytes that a client or a member may send.
+TEST(platform_line, decoders_take_any_bytes)
+{
+    EXPECT_TRUE(rc::check(
+        [](const std::string& line)
+        {
+            decode_client_line(line);
+            decode_client_line("QUERY " + line);
+            decode_client_line("STARTUP " + line);
+            decode_statement("1", "PREPARE " + line);
+            decode_statement("1", "EXECUTE " + line);
+            parse_position(line);
+            parse_status_row(line);
+            reply_decoder decoder;
+            decoder.on_line(line);
+            decoder.on_line("ERROR " + line);
+            decoder.on_line("READY " + line);
+        }));
+}
--- /dev/null
+++ b/tests/unit/unit-platform_records.cpp
@@ -0,0 +1,182 @@
+#include "platform/http_store.hpp"
+#include "platform/records.hpp"
+#include "platform/settings_file.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace zinniahub;
+using namespace zinniahub::platform;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace
+{
+
+json configuration_record()
+{
+    return json::parse(R"({
+      "version": 7,
+      "routes": [
+        {"name":"r1","host":"books","type":"primary","service":"ledger",
+         "timeout_ms":800,"target_latency_ms":150,"priority":1,"public":false},
+        {"name":"r2","host":"shelf","type":"bounded_staleness",
+         "service":"ledger","max_staleness_ms":1500,"public":true}],
+      "services": [{"name":"ledger","max_connections":22,"sync_replicas":1}],
+      "limits": {"tx_idle_ms": 2500, "max_body_bytes": 262144},
+      "tenants": [
+        {"name":"alba","api_keys":["k1","k2"],"rate_per_s":138,"burst":140}]})");
+}
+
+json member_record()
+{
+    return json::parse(R"({
+      "service":"ledger","address":"10.128.0.9:8080","zone":"z1","version":"v1",
+      "capacity":3,"phase":"ready","warmup_remaining_ms":0,
+      "db_role":"replica","sequence":4,"born":1700000000000})");
+}
+
+} // namespace
+
+// Guards against fields that are read under the wrong name.
+TEST(platform_records, decodes_the_configuration)
+{
+    const auto decoded = decode_configuration(configuration_record().dump());
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->version, 7U);
+    const auto& books = decoded->routes.at("books");
+    EXPECT_EQ(books.service, "ledger");
+    EXPECT_EQ(books.consistency, read_consistency::latest);
+    EXPECT_EQ(books.statement_timeout, 800ms);
+    EXPECT_EQ(books.target_latency, 150ms);
+    const auto& shelf = decoded->routes.at("shelf");
+    EXPECT_EQ(shelf.max_staleness, 1500ms);
+    EXPECT_TRUE(shelf.is_public);
+    EXPECT_EQ(decoded->services.at("ledger").max_connections, 22U);
+    EXPECT_EQ(decoded->customers.at("alba").rate_per_s, 138);
+    ASSERT_NE(decoded->keys.customer_of("k2"), nullptr);
+    EXPECT_EQ(*decoded->keys.customer_of("k2"), "alba");
+    EXPECT_EQ(decoded->keys.customer_of("k3"), nullptr);
+    EXPECT_EQ(decoded->transaction_idle_limit, 2500ms);
+    EXPECT_EQ(decoded->unreadable, 0U);
+}
+
+// Guards against one bad entry that takes the others out of service.
+TEST(platform_records, leaves_bad_entries_out)
+{
+    auto record = configuration_record();
+    record["routes"][0]["type"] = "unheard_of";
+    record["services"].push_back({{"name", 5}});
+    const auto decoded = decode_configuration(record.dump());
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->routes.count("books"), 0U);
+    EXPECT_EQ(decoded->routes.count("shelf"), 1U);
+    EXPECT_EQ(decoded->unreadable, 2U);
+    EXPECT_FALSE(decode_configuration("{}"));
+    EXPECT_FALSE(decode_configuration("[1]"));
+}
+
+// Guards against entries of other writers that name a member to use.
+TEST(platform_records, refuses_registrations_that_are_incomplete)
+{
+    const auto decoded = decode_member("i-1", member_record().dump());
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->instance, "i-1");
+    EXPECT_EQ(decoded->failure_domain, "z1");
+    EXPECT_EQ(decoded->started_ms, 1700000000000U);
+    for (const auto* field :
+         {"service", "address", "zone", "phase", "db_role", "capacity",
+          "sequence"})
+    {
+        auto missing = member_record();
+        missing.erase(field);
+        EXPECT_FALSE(decode_member("i-1", missing.dump())) << field;
+        auto other_type = member_record();
+        other_type[field] = json::array();
+        EXPECT_FALSE(decode_member("i-1", other_type.dump())) << field;
+    }
+    auto unknown_phase = member_record();
+    unknown_phase["phase"] = "resting";
+    EXPECT_FALSE(decode_member("i-1", unknown_phase.dump()));
+    EXPECT_FALSE(decode_member("i-1", "\xff\x00"));
+}
+
+// Guards against an exit on records that hold any bytes.
+TEST(platform_records, decoders_take_any_bytes)
+{
+    EXPECT_TRUE(rc::check(
+        [](const std::string& text)
+        {
+            decode_configuration(text);
+            decode_member("i-1", text);
+            bool more = false;
+            decode_batch(text, "items", more);
+            decode_base64(text);
+            parse_settings(text);
+        }));
+}
+
+// Guards against values that change on their way through the store.
+TEST(platform_records, base64_round_trip)
+{
+    EXPECT_TRUE(rc::check(
+        [](const std::string& bytes)
+        {
+            const auto decoded = decode_base64(encode_base64(bytes));
+            RC_ASSERT(decoded.has_value());
+            RC_ASSERT(*decoded == bytes);
+        }));
+}
+
+// Guards against an unreadable item that hides the others.
+TEST(platform_records, batch_leaves_unreadable_items_out)
+{
+    bool more = false;
+    const auto batch = decode_batch(
+        R"({"items":[{"key":"a","value":"eA==","revision":3},
+            {"key":"b","value":5,"revision":4},"text",
+            {"key":"c","revision":5,"deleted":true}],
+            "has_more":true,"at":9})",
+        "items", more);
+    ASSERT_TRUE(batch);
+    ASSERT_EQ(batch->items.size(), 2U);
+    EXPECT_EQ(batch->items[0].value, "x");
+    EXPECT_TRUE(batch->items[1].removed);
+    EXPECT_TRUE(more);
+    EXPECT_EQ(batch->at, 9U);
+}
+
+// Guards against settings that are taken from the wrong place.
+TEST(platform_records, reads_the_settings_file)
+{
+    const auto settings = parse_settings(R"(
+node_name = "frontend-1"
+zone = "z1"
+ip_address = "10.1.0.26"
+internal_port_range = [7560, 7575]
+[listen_addrs]
+frontend = "10.1.0.26:8465"
+ready = "10.1.0.26:8460"
+[bounds]
+grace_period_s = 6
+drain_timeout_ms = 7000
+quota_overage = 0.1
+quota_tolerance = 20
+[platform]
+address = "10.200.1.7:8466"
+[cloud_api]
+address = "10.200.0.2:8466"
+assigned_tasks = ["promotion"]
+)");
+    ASSERT_TRUE(settings);
+    EXPECT_EQ(settings->node, "frontend-1");
+    EXPECT_EQ(settings->peer_address, "10.1.0.26:7560");
+    EXPECT_EQ(settings->store_address, "10.200.1.7:8466");
+    EXPECT_TRUE(settings->promotes);
+    EXPECT_EQ(settings->grace_period, 6s);
+    EXPECT_EQ(settings->quota_tolerance, 20);
+    EXPECT_EQ(parse_settings("zone = 1").error().code, errc::settings_missing);
+    EXPECT_EQ(parse_settings("zone =").error().code, errc::settings_syntax);
+}
--- /dev/null
+++ b/tests/unit/unit-rate_ledger.cpp
@@ -0,0 +1,145 @@
+#include <zinniahub/rate_ledger.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+
+using namespace zinniahub;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point start{std::chrono::hours(1)};
+constexpr rate_allowance allowance{0.1, 20, 5s};
+constexpr rate_limit limit{40, 40};
+
+/// Most operations in any window.
+constexpr double window_limit = (40 * 5 + 40) * 1.1 + 20;
+
+} // namespace
+
+// Guards against shares that add up to more than the whole.
+TEST(share_planner, first_host_gives_equal_shares)
+{
+    share_planner planner({.host = "a"});
+    const std::set<std::string> hosts{"a", "b", "c"};
+    EXPECT_FALSE(planner.on_tick(hosts, {}, start));
+    const auto change = planner.on_tick(hosts, {}, start + 700ms);
+    ASSERT_TRUE(change);
+    EXPECT_EQ(change->shares.of("a"), change->shares.of("c"));
+    EXPECT_LE(change->shares.sum(), rate_shares::whole);
+    EXPECT_TRUE(change->dropped.empty());
+}
+
+// Guards against a host that waits for the first host, which may be down.
+TEST(share_planner, host_without_share_adds_itself)
+{
+    share_planner planner({.host = "b"});
+    const std::set<std::string> hosts{"a", "b"};
+    EXPECT_FALSE(planner.on_tick(hosts, {}, start));
+    EXPECT_FALSE(planner.on_tick(hosts, {}, start + 1s));
+    const auto change = planner.on_tick(hosts, {}, start + 1500ms);
+    ASSERT_TRUE(change);
+    EXPECT_EQ(change->shares.of("a"), 0U);
+    EXPECT_GT(change->shares.of("b"), 0U);
+}
+
+// Guards against the use of a share whose host is still registered.
+TEST(share_planner, takes_only_shares_of_hosts_that_are_gone)
+{
+    share_planner planner({.host = "a"});
+    rate_shares shares;
+    shares.by_host = {{"a", 4000}, {"gone", 4000}};
+    const std::set<std::string> hosts{"a", "b"};
+    planner.on_tick(hosts, shares, start);
+    const auto change = planner.on_tick(hosts, shares, start + 1s);
+    ASSERT_TRUE(change);
+    EXPECT_EQ(change->dropped, std::vector<std::string>{"gone"});
+    EXPECT_GT(change->shares.of("b"), 0U);
+    EXPECT_LE(change->shares.sum(), rate_shares::whole);
+}
+
+// Guards against a newcomer that stays without a share.
+TEST(share_planner, makes_room_for_hosts_without_a_share)
+{
+    share_planner planner({.host = "a"});
+    rate_shares shares;
+    shares.by_host = {{"a", 5000}, {"b", 5000}};
+    const std::set<std::string> hosts{"a", "b", "c"};
+    planner.on_tick(hosts, shares, start);
+    const auto change = planner.on_tick(hosts, shares, start + 1s);
+    ASSERT_TRUE(change);
+    EXPECT_LT(change->shares.of("a"), 5000U);
+    EXPECT_EQ(change->shares.of("b"), 5000U);
+}
+
+// Guards against tokens of an earlier process of the host.
+TEST(rate_account, starts_empty)
+{
+    rate_account account(allowance, limit, start);
+    account.set_share(rate_shares::whole, start);
+    EXPECT_FALSE(account.try_take(start));
+    EXPECT_TRUE(account.try_take(start + 100ms));
+}
+
+// Guards against more operations than the limit in some window, over any order
+// of restarts, moves of tokens and demands of three hosts.
+TEST(rate_account, all_hosts_together_keep_the_limit)
+{
+    EXPECT_TRUE(rc::check(
+        []
+        {
+            std::vector<rate_account> accounts(
+                3, rate_account(allowance, limit, start));
+            for (auto& account : accounts)
+            {
+                account.set_share(rate_shares::whole / 3, start);
+            }
+            std::deque<time_point> taken;
+            auto now = start;
+            for (int step = 0; step < 600; ++step)
+            {
+                now += std::chrono::milliseconds(*rc::gen::inRange(0, 60));
+                const auto host = *rc::gen::inRange(0, 3);
+                const auto other = (host + 1) % 3;
+                switch (*rc::gen::inRange(0, 12))
+                {
+                case 0:
+                    accounts[host] = rate_account(allowance, limit, now);
+                    accounts[host].set_share(rate_shares::whole / 3, now);
+                    break;
+                case 1:
+                case 2:
+                    accounts[host].receive(
+                        accounts[other].give(accounts[host].wanted(now), now),
+                        now);
+                    break;
+                default:
+                    while (accounts[host].try_take(now))
+                    {
+                        taken.push_back(now);
+                    }
+                }
+                while (!taken.empty() && now - taken.front() > 5s)
+                {
+                    taken.pop_front();
+                }
+                RC_ASSERT(static_cast<double>(taken.size()) <= window_limit);
+            }
+        }));
+}
+
+// Guards against a limit that is mostly left unused by a steady load.
+TEST(rate_account, serves_a_steady_load_at_the_rate)
+{
+    rate_account account(allowance, limit, start);
+    account.set_share(rate_shares::whole, start);
+    int served = 0;
+    for (int step = 1; step <= 400; ++step)
+    {
+        served += account.try_take(start + step * 25ms) ? 1 : 0;
+    }
+    EXPECT_GE(served, 396);
+}
--- /dev/null
+++ b/tests/unit/unit-session_values.cpp
@@ -0,0 +1,106 @@
+#include <zinniahub/session_values.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+using namespace zinniahub;
+
+namespace
+{
+
+/// Carries a plan out on a model of the member's session.
+void carry_out(
+    const restore_plan& plan, connection_values& known, session_values& member)
+{
+    if (plan.discard)
+    {
+        member = {};
+        known.on_discarded();
+    }
+    for (const auto& [name, value] : plan.set)
+    {
+        member.values[name] = value;
+        known.on_set(name, value);
+    }
+    for (const auto& statement : plan.prepare)
+    {
+        member.prepared[shared_name(statement)] = statement;
+        known.on_prepared(statement);
+    }
+}
+
+} // namespace
+
+// Guards against a value of one session that is seen by another one.
+TEST(session_values, discards_values_that_the_session_does_not_have)
+{
+    connection_values known;
+    known.on_set("colour", "red");
+    const auto plan = known.plan({}, nullptr);
+    EXPECT_TRUE(plan.discard);
+    EXPECT_TRUE(plan.set.empty());
+}
+
+// Guards against needless round trips.
+TEST(session_values, does_nothing_for_equal_values)
+{
+    connection_values known;
+    known.on_set("colour", "red");
+    session_values session;
+    session.values["colour"] = "red";
+    EXPECT_TRUE(known.plan(session, nullptr).empty());
+    EXPECT_TRUE(known.matches(session));
+}
+
+// Guards against two statements of one shape that read and write under one
+// name.
+TEST(session_values, names_differ_by_kind_and_shape)
+{
+    EXPECT_NE(shared_name({true, "a"}), shared_name({false, "a"}));
+    EXPECT_NE(shared_name({true, "a"}), shared_name({true, "b"}));
+}
+
+// Guards against a prepared statement that is lost by a discard.
+TEST(session_values, prepares_again_after_a_discard)
+{
+    connection_values known;
+    const prepared_statement statement{true, "a"};
+    known.on_prepared(statement);
+    EXPECT_TRUE(known.plan({}, &statement).empty());
+    known.on_set("colour", "red");
+    const auto plan = known.plan({}, &statement);
+    EXPECT_TRUE(plan.discard);
+    ASSERT_EQ(plan.prepare.size(), 1U);
+}
+
+// Guards against a statement that runs with other values or another shape than
+// its session has, over any order of sessions on one connection.
+TEST(session_values, connection_equals_the_session_after_every_plan)
+{
+    EXPECT_TRUE(rc::check(
+        []
+        {
+            connection_values known;
+            session_values member;
+            const auto sessions = *rc::gen::inRange(1, 20);
+            for (int index = 0; index < sessions; ++index)
+            {
+                session_values session;
+                for (const auto* name : {"a", "b", "c"})
+                {
+                    // 0: the session does not have the value.
+                    const auto value = *rc::gen::inRange(0, 3);
+                    if (value > 0)
+                    {
+                        session.values[name] = std::to_string(value);
+                    }
+                }
+                const prepared_statement needed{
+                    *rc::gen::arbitrary<bool>(),
+                    *rc::gen::elementOf(std::vector<std::string>{"x", "y"})};
+                carry_out(known.plan(session, &needed), known, member);
+                RC_ASSERT(member.values == session.values);
+                RC_ASSERT(member.prepared.at(shared_name(needed)) == needed);
+            }
+        }));
+}
