--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -45,6 +45,9 @@
         "watch", "wait until the hosts have the declared state",
         commands::run_watch},
     subcommand{"exec", "run statements through a proxy", commands::run_exec},
+    subcommand{
+        "explain", "show from logs why a request was answered as it was",
+        commands::run_explain},
     subcommand{"help", "print this help", run_help}};
 
 void print_summary(std::FILE* stream)
--- a/src/operator/commands.hpp
+++ b/src/operator/commands.hpp
@@ -19,6 +19,7 @@
 exit_code run_withdraw(arguments args);
 exit_code run_watch(arguments args);
 exit_code run_exec(arguments args);
+exit_code run_explain(arguments args);
 exit_code run_serve_platform(arguments args);
 
 } // namespace zinniahub::commands
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -321,7 +321,7 @@
 {
     auto& gateway = front_.gateway(route_->service);
     auto required = co_await gateway.wait_for_position(
-        route_->max_staleness, request.wait_until);
+        route_->max_staleness, request.wait_until_busy);
     if (!required)
     {
         trace_.why = errc::no_primary;
@@ -487,7 +487,7 @@
     if (!on_primary)
     {
         required = co_await gateway.wait_for_position(
-            route_->max_staleness, request.wait_until);
+            route_->max_staleness, request.wait_until_busy);
         if (!required)
         {
             trace_.why = errc::no_primary;
