--- a/src/operator/explain.cpp
+++ b/src/operator/explain.cpp
@@ -119,6 +119,7 @@
         }
     }
     std::vector<const line*> chosen;
+    chosen.reserve(last.size());
     for (const auto& [event, entry] : last)
     {
         chosen.push_back(entry);
--- a/tests/integration/integration-platform_path.cpp
+++ b/tests/integration/integration-platform_path.cpp
@@ -149,6 +149,7 @@
     wait_for_rates("key-b");
     std::atomic<int> failed{0};
     std::vector<std::thread> callers;
+    callers.reserve(12);
     for (int caller_index = 0; caller_index < 12; ++caller_index)
     {
         callers.emplace_back(
--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -1,5 +1,6 @@
 #include "support/hosted_platform.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace zinniahub::test
@@ -132,6 +133,23 @@
     return true;
 }
 
+std::size_t hosted_platform::runs_of(const std::string& id) const
+{
+    const std::lock_guard lock(log_->mutex);
+    return static_cast<std::size_t>(std::count_if(
+        log_->runs.begin(), log_->runs.end(),
+        [&id](const hosted_run& run) { return run.id == id; }));
+}
+
+std::size_t hosted_platform::runs_at(const std::string& instance) const
+{
+    const std::lock_guard lock(log_->mutex);
+    return static_cast<std::size_t>(std::count_if(
+        log_->runs.begin(), log_->runs.end(),
+        [&instance](const hosted_run& run)
+        { return run.instance == instance; }));
+}
+
 std::size_t hosted_platform::primary() const
 {
     const std::lock_guard lock(log_->mutex);
--- a/tests/support/hosted_platform.hpp
+++ b/tests/support/hosted_platform.hpp
@@ -61,6 +61,11 @@
     /// @return false if the member is not running
     bool promote(const std::string& instance);
 
+    /// @brief How often members ran the statement with an id.
+    std::size_t runs_of(const std::string& id) const;
+    /// @brief Statements that a member ran.
+    std::size_t runs_at(const std::string& instance) const;
+
     /// @brief Index of the primary.
     std::size_t primary() const;
 
