--- a/include/zinniahub/leader_samples.hpp
+++ b/include/zinniahub/leader_samples.hpp
@@ -64,20 +64,20 @@
         return std::nullopt;
     }
 
-    /// @brief Latest known time up to which a log covers the primary's: it has
-    /// every commit acknowledged before. min() if no sample tells.
+    /// @brief Shortest time by which a log can be behind the primary's: the age
+    /// of the first sample beyond its end; zero if there is none.
     /// @param position end of the log
     /// @complexity linear in the samples kept
-    time_point covered_until(log_position position) const
+    duration lag_of(log_position position, time_point now) const
     {
-        for (auto entry = samples_.rbegin(); entry != samples_.rend(); ++entry)
+        for (const auto& value : samples_)
         {
-            if (entry->position <= position)
+            if (value.position > position)
             {
-                return entry->sent_at;
+                return now - value.sent_at;
             }
         }
-        return time_point::min();
+        return duration::zero();
     }
 
     /// @brief When the primary is first known to have had a position; `now` if
--- a/src/pooling/member_pool.hpp
+++ b/src/pooling/member_pool.hpp
@@ -131,9 +131,15 @@
     /// @brief How far the member's log is behind the primary's, from its last
     /// answer; zero if that is too old to tell.
     duration lag(time_point now) const;
-    void set_lag(duration value, time_point now)
+    /// @brief Last position that the member reported.
+    log_position position() const
     {
-        lag_ = value;
+        return position_;
+    }
+    void set_position(log_position value, duration lag, time_point now)
+    {
+        position_ = value;
+        lag_ = lag;
         lag_known_at_ = now;
     }
     /// @brief True after the member said that it is not the primary.
@@ -167,6 +173,7 @@
     duration full_time_{};
     time_point suspect_until_ = time_point::min();
     duration suspect_time_{};
+    log_position position_;
     duration lag_{};
     time_point lag_known_at_ = time_point::min();
     time_point not_primary_until_ = time_point::min();
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -318,24 +318,12 @@
 
 void service_gateway::note_lag(member_pool& pool, const reply& answer) const
 {
-    if (!answer.position)
+    if (answer.position)
     {
-        return;
-    }
-    const auto now = clock::now();
-    const auto newest = samples_.position();
-    if (!newest)
-    {
-        return;
-    }
-    duration lag = duration::zero();
-    if (*answer.position < *newest)
-    {
-        const auto covered = samples_.covered_until(*answer.position);
-        lag = covered == time_point::min() ? leader_samples::longest_bound
-                                           : now - covered;
+        const auto now = clock::now();
+        pool.set_position(
+            *answer.position, samples_.lag_of(*answer.position, now), now);
     }
-    pool.set_lag(lag, now);
 }
 
 std::vector<const upstream_state*> service_gateway::read_candidates(
@@ -369,8 +357,9 @@
         }
         const auto& pool = found->second;
         const bool primary = instance == primary_;
-        if (pool.is_suspect(now) ||
-            (!primary && pool.lag(now) > now - reached_at))
+        const bool behind =
+            pool.position() < position && pool.lag(now) > now - reached_at;
+        if (pool.is_suspect(now) || (!primary && behind))
         {
             continue;
         }
