Limit the statements of a host at one member by the latency seen

Change: concurrency_limit, one for each host and member: an answer slower than 0.35 of the request's objective, or a refusal because of a full queue, lowers it by a quarter, once for the statements sent together; quick answers raise it by one a round while it binds. Requests wait at the host, by priority and customer. A statement of a transaction that ends wakes a waiting request too.

The gateway is split: choice of member (pure, with tests), opening and probing of connections (one way to build a pooled connection instead of two), leases, the set of pools. A reference to a member's name that was used after a wait is a copy now.

Conclusion: the queue belongs in the proxy.

--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -258,6 +258,7 @@
     request.customer = customer_;
     request.session = &values_;
     request.priority = route_->priority;
+    request.objective = route_->target_latency;
     request.wait_until =
         trace_.started + part_of(route_->target_latency, waiting_part);
     request.wait_until_busy =
@@ -531,6 +532,7 @@
         gateway.on_primary_proved(trace_.instance, sent_at, begun->position);
     }
     connection_ = std::move(*lease);
+    connection_.hold();
     co_return std::nullopt;
 }
 
--- /dev/null
+++ b/src/pooling/connection_lease.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "pooling/member_pool.hpp"
+#include "pooling/ports.hpp"
+
+#include <zinniahub/session_values.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace zinniahub::pooling
+{
+
+class service_gateway;
+
+/// @brief A connection taken from a pool. Returns it when destroyed.
+class connection_lease
+{
+public:
+    connection_lease() = default;
+    /// @param objective latency objective of the request
+    connection_lease(
+        service_gateway& gateway, std::string instance, pooled_ptr connection,
+        duration objective);
+    connection_lease(connection_lease&& other) noexcept;
+    connection_lease& operator=(connection_lease&& other) noexcept;
+    ~connection_lease();
+
+    explicit operator bool() const
+    {
+        return connection_ != nullptr;
+    }
+    const std::string& instance() const
+    {
+        return instance_;
+    }
+
+    /// @brief Gives the connection the session's values and the prepared
+    /// statement.
+    awaitable<result<void>> restore(
+        const session_values& session, const prepared_statement* needed,
+        duration timeout);
+    awaitable<result<reply>> forward(
+        std::string_view id, std::string_view text,
+        std::optional<log_position> wait_for, duration timeout);
+    awaitable<result<reply>> run(const command& value, duration timeout);
+
+    /// @brief Keeps the connection for a transaction, between whose statements
+    /// other requests use the member's slots.
+    void hold()
+    {
+        held_ = true;
+    }
+
+    /// @brief Ends an open transaction and returns the connection.
+    void roll_back();
+    /// @brief The member does not know a prepared statement.
+    void forget(const prepared_statement& statement);
+    void close();
+    void reset();
+
+private:
+    void note(const result<reply>& answer, time_point sent_at);
+
+    service_gateway* gateway_ = nullptr;
+    std::string instance_;
+    pooled_ptr connection_;
+    duration objective_{};
+    bool held_ = false;
+};
+
+} // namespace zinniahub::pooling
--- /dev/null
+++ b/src/pooling/connection_opener.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "observability/event_log.hpp"
+#include "pooling/pool_set.hpp"
+#include "pooling/ports.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace zinniahub::pooling
+{
+
+/// @brief Opens connections to the members of one service and counts them in
+/// the members' pools.
+class connection_opener
+{
+public:
+    /// Takes a connection that nobody waits for.
+    using unclaimed_handler =
+        std::function<void(const std::string& instance, pooled_ptr)>;
+
+    connection_opener(
+        boost::asio::io_context& io, member_connector& connector,
+        pool_set& pools, log::event_log& events,
+        unclaimed_handler on_unclaimed);
+
+    /// @brief Opens a connection.
+    /// @param until when the caller gives up; the attempt goes on
+    /// @return null if there is none by then
+    awaitable<pooled_ptr> open(member_address target, time_point until);
+
+    /// @brief Tries a member that has been silent, once at a time.
+    void probe(member_address target);
+
+    std::uint64_t opened() const
+    {
+        return opened_;
+    }
+
+private:
+    /// A connection that a caller waits for.
+    struct attempt
+    {
+        explicit attempt(boost::asio::io_context& io)
+            : timer(io)
+        {
+        }
+        boost::asio::steady_timer timer;
+        pooled_ptr connection;
+        /// The caller no longer waits.
+        bool abandoned = false;
+    };
+
+    awaitable<pooled_ptr> connect(const member_address& target, duration limit);
+    awaitable<void>
+    connect_for(std::shared_ptr<attempt> waiting, member_address target);
+    awaitable<void> run_probe(member_address target);
+
+    boost::asio::io_context& io_;
+    member_connector& connector_;
+    pool_set& pools_;
+    log::event_log& events_;
+    unclaimed_handler on_unclaimed_;
+    std::set<std::string> probing_;
+    std::uint64_t opened_ = 0;
+};
+
+} // namespace zinniahub::pooling
--- /dev/null
+++ b/src/pooling/member_choice.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "pooling/pool_set.hpp"
+
+#include <zinniahub/leader_samples.hpp>
+#include <zinniahub/upstream_directory.hpp>
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace zinniahub::pooling
+{
+
+/// @brief Member that was last proved to be the primary.
+struct proved_primary
+{
+    std::string instance;
+    time_point proved_at = time_point::min();
+};
+
+/// @brief What a host knows of the members of one service.
+struct member_view
+{
+    const upstream_directory& directory;
+    std::string_view service;
+    const pool_set& pools;
+    const proved_primary& primary;
+    const leader_samples& samples;
+};
+
+/// @brief What a read asks of its member.
+struct read_needs
+{
+    std::string_view customer;
+    /// Position that the member's log has to reach.
+    log_position position;
+    /// Members that the read has tried in vain.
+    std::span<const std::string> excluded;
+    /// Differs from read to read, so that equal members are used in turn.
+    std::uint64_t turn = 0;
+};
+
+/// @brief Members that may be the primary, the likeliest first: one that was
+/// proved or registered last, then any other, in case the registrations are out
+/// of date.
+std::vector<const upstream_state*>
+primary_candidates(const member_view& view, time_point now);
+
+/// @brief Members whose log probably reaches the position, in the order in
+/// which a read should try them: by the cost of a connection, then by load.
+std::vector<const upstream_state*> read_candidates(
+    const member_view& view, const read_needs& needs, time_point now);
+
+} // namespace zinniahub::pooling
--- a/src/pooling/member_pool.cpp
+++ b/src/pooling/member_pool.cpp
@@ -31,6 +31,10 @@
 member_pool::availability
 member_pool::availability_for(std::string_view customer, time_point now) const
 {
+    if (!has_room())
+    {
+        return availability::none;
+    }
     const bool has_idle = std::any_of(
         idle_.begin(), idle_.end(),
         [customer](const pooled_ptr& entry)
@@ -169,6 +173,19 @@
     return known ? lag_ : duration::zero();
 }
 
+void member_pool::on_statement_answered(
+    time_point sent_at, time_point now, duration objective, reply_code code)
+{
+    if (code == reply_code::busy)
+    {
+        concurrency_.on_refused(sent_at, now);
+    }
+    else
+    {
+        concurrency_.on_answer(sent_at, now, objective, calls_.size() + 1);
+    }
+}
+
 void member_pool::on_answer(const reply& value, time_point now)
 {
     answered_at_ = now;
--- a/src/pooling/member_pool.hpp
+++ b/src/pooling/member_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "pooling/ports.hpp"
 
+#include <zinniahub/concurrency_limit.hpp>
 #include <zinniahub/session_values.hpp>
 
 #include <cstdint>
@@ -128,6 +129,15 @@
     {
         calls_.erase(calls_.find(sent_at));
     }
+    /// @brief A client's statement was answered.
+    void on_statement_answered(
+        time_point sent_at, time_point now, duration objective,
+        reply_code code);
+    /// @brief True if one more statement may be sent to the member.
+    bool has_room() const
+    {
+        return concurrency_.allows(calls_.size() + opening_);
+    }
     /// @brief How far the member's log is behind the primary's, from its last
     /// answer; zero if that is too old to tell.
     duration lag(time_point now) const;
@@ -160,7 +170,9 @@
 private:
     void suspect(time_point now);
 
+    /// When the calls in progress were sent.
     std::multiset<time_point> calls_;
+    concurrency_limit concurrency_;
     time_point answered_at_ = time_point::min();
 
     limits limits_;
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -16,10 +16,6 @@
 namespace
 {
 
-/// A member in the same region that does not answer a connection attempt in
-/// this time is down or cut off.
-constexpr duration connect_timeout = std::chrono::milliseconds(400);
-
 /// Commands that take no slot are answered in a round trip.
 constexpr duration command_timeout = std::chrono::milliseconds(500);
 
@@ -32,7 +28,6 @@
 /// A member that answers nothing for this long while a call waits is probed by
 /// a new connection; statements alone may take longer.
 constexpr duration silence_limit = std::chrono::milliseconds(250);
-constexpr duration probe_timeout = std::chrono::milliseconds(250);
 
 /// Pause between attempts while no member is usable.
 constexpr duration retry_pause = std::chrono::milliseconds(40);
@@ -45,176 +40,19 @@
 
 } // namespace
 
-connection_lease::connection_lease(
-    service_gateway& gateway, std::string instance, pooled_ptr connection)
-    : gateway_(&gateway)
-    , instance_(std::move(instance))
-    , connection_(std::move(connection))
-{
-}
-
-connection_lease::connection_lease(connection_lease&& other) noexcept
-    : gateway_(other.gateway_)
-    , instance_(std::move(other.instance_))
-    , connection_(std::move(other.connection_))
-{
-}
-
-connection_lease& connection_lease::operator=(connection_lease&& other) noexcept
-{
-    if (this != &other)
-    {
-        reset();
-        gateway_ = other.gateway_;
-        instance_ = std::move(other.instance_);
-        connection_ = std::move(other.connection_);
-    }
-    return *this;
-}
-
-connection_lease::~connection_lease()
-{
-    reset();
-}
-
-void connection_lease::reset()
-{
-    if (connection_ != nullptr)
-    {
-        gateway_->give_back(instance_, std::move(connection_));
-    }
-}
-
-void connection_lease::close()
-{
-    if (connection_ != nullptr)
-    {
-        connection_->link->close();
-        reset();
-    }
-}
-
-void connection_lease::forget(const prepared_statement& statement)
-{
-    connection_->values.on_unknown(statement);
-}
-
-void connection_lease::note(const result<reply>& answer, time_point sent_at)
-{
-    auto& pool = gateway_->pool_of(instance_);
-    pool.on_call_ended(sent_at);
-    if (answer)
-    {
-        pool.on_answer(*answer, clock::now());
-        gateway_->note_lag(pool, *answer);
-    }
-    else
-    {
-        pool.on_call_failed(clock::now());
-    }
-}
-
-awaitable<result<reply>> connection_lease::forward(
-    std::string_view id, std::string_view text,
-    std::optional<log_position> wait_for, duration timeout)
-{
-    const auto sent_at = clock::now();
-    gateway_->pool_of(instance_).on_call(sent_at);
-    auto answer =
-        co_await connection_->link->forward(id, text, wait_for, timeout);
-    note(answer, sent_at);
-    co_return answer;
-}
-
-awaitable<result<reply>>
-connection_lease::run(const command& value, duration timeout)
-{
-    const auto sent_at = clock::now();
-    gateway_->pool_of(instance_).on_call(sent_at);
-    auto answer = co_await connection_->link->run(value, timeout);
-    note(answer, sent_at);
-    co_return answer;
-}
-
-awaitable<result<void>> connection_lease::restore(
-    const session_values& session, const prepared_statement* needed,
-    duration timeout)
-{
-    const auto steps = connection_->values.plan(session, needed);
-    if (steps.empty())
-    {
-        co_return result<void>{};
-    }
-    // A failed step leaves unknown values behind, so the connection is closed.
-    const auto check = [this](const result<reply>& answer)
-    {
-        if (answer && answer->ok())
-        {
-            return true;
-        }
-        connection_->link->close();
-        return false;
-    };
-    if (steps.discard)
-    {
-        const auto answer =
-            co_await run({.kind = command_kind::discard}, timeout);
-        if (!check(answer))
-        {
-            co_return fail(errc::connection_lost, "discard");
-        }
-        connection_->values.on_discarded();
-    }
-    for (const auto& [name, value] : steps.set)
-    {
-        const auto answer = co_await run(
-            {.kind = command_kind::set_value, .name = name, .argument = value},
-            timeout);
-        if (!check(answer))
-        {
-            co_return fail(errc::connection_lost, "set value");
-        }
-        connection_->values.on_set(name, value);
-    }
-    for (const auto& statement : steps.prepare)
-    {
-        const auto name = shared_name(statement);
-        const auto answer = co_await run(
-            {.kind = statement.writes ? command_kind::prepare_write
-                                      : command_kind::prepare_read,
-             .name = name,
-             .argument = statement.shape},
-            timeout);
-        if (!check(answer))
-        {
-            co_return fail(errc::connection_lost, "prepare");
-        }
-        connection_->values.on_prepared(statement);
-    }
-    co_return result<void>{};
-}
-
-void connection_lease::roll_back()
-{
-    if (connection_ == nullptr)
-    {
-        return;
-    }
-    auto& gateway = *gateway_;
-    asio::co_spawn(
-        gateway.io_, gateway.roll_back(std::move(*this)), asio::detached);
-}
-
 service_gateway::service_gateway(
     asio::io_context& io, member_connector& connector,
     const upstream_directory& directory, service_definition definition,
     position_exchange& positions, log::event_log& events)
     : io_(io)
-    , connector_(connector)
     , directory_(directory)
     , positions_(positions)
     , definition_(std::move(definition))
     , events_(events)
+    , opener_(
+          io, connector, pools_, events,
+          [this](const std::string& instance, pooled_ptr connection)
+          { give_back(instance, std::move(connection)); })
 {
 }
 
@@ -227,10 +65,7 @@
     }
     definition_ = std::move(definition);
     hosts_ = std::max<std::size_t>(hosts, 1);
-    for (auto& [instance, pool] : pools_)
-    {
-        pool.set_limits(pool_limits());
-    }
+    pools_.set_limits(pool_limits());
 }
 
 member_pool::limits service_gateway::pool_limits() const
@@ -242,16 +77,17 @@
         std::max<std::uint32_t>(share / 2, 1), limit};
 }
 
-member_pool& service_gateway::pool_of(const std::string& instance)
+member_view service_gateway::view() const
 {
-    const auto found = pools_.find(instance);
-    if (found != pools_.end())
-    {
-        return found->second;
-    }
-    auto& pool = pools_[instance];
-    pool.set_limits(pool_limits());
-    return pool;
+    return {directory_, definition_.name, pools_, primary_, samples_};
+}
+
+member_address service_gateway::address_of(
+    const upstream_state& member, std::string_view customer) const
+{
+    return {
+        definition_.name, member.record.address, member.record.instance,
+        std::string(customer)};
 }
 
 const upstream_state*
@@ -268,54 +104,6 @@
     return member != nullptr && directory_.accepts_open(*member, now);
 }
 
-std::vector<const upstream_state*>
-service_gateway::primary_candidates(time_point now) const
-{
-    // Order: proved primary, registered primaries by the time they became it,
-    // then any member, in case the registrations are out of date.
-    std::vector<std::pair<std::tuple<int, time_point>, const upstream_state*>>
-        ranked;
-    for (const auto& [instance, member] : directory_.members())
-    {
-        if (member.record.service != definition_.name ||
-            !directory_.accepts_open(member, now))
-        {
-            continue;
-        }
-        const auto pool = pools_.find(instance);
-        const bool denied =
-            pool != pools_.end() && pool->second.denied_primary(now);
-        const bool suspect =
-            pool != pools_.end() && pool->second.is_suspect(now);
-        if (denied || suspect)
-        {
-            continue;
-        }
-        const bool registered = member.primary_since != time_point::min();
-        int rank = 0;
-        if (instance == primary_ && primary_proved_at_ > member.primary_since)
-        {
-            rank = 3;
-        }
-        else if (registered)
-        {
-            rank = member.primary_since > primary_proved_at_ ? 4 : 2;
-        }
-        ranked.push_back({{rank, member.primary_since}, &member});
-    }
-    std::sort(
-        ranked.begin(), ranked.end(),
-        [](const auto& left, const auto& right)
-        { return left.first > right.first; });
-    std::vector<const upstream_state*> members;
-    members.reserve(ranked.size());
-    for (const auto& [rank, member] : ranked)
-    {
-        members.push_back(member);
-    }
-    return members;
-}
-
 void service_gateway::note_lag(member_pool& pool, const reply& answer) const
 {
     if (answer.position)
@@ -326,62 +114,6 @@
     }
 }
 
-std::vector<const upstream_state*> service_gateway::read_candidates(
-    const access_request& request, log_position position, time_point now) const
-{
-    struct candidate
-    {
-        std::tuple<int, std::uint32_t, std::uint64_t> cost;
-        const upstream_state* member;
-    };
-    std::vector<candidate> ranked;
-    std::uint64_t turn = ticket_;
-    const auto reached_at = samples_.reached_at(position, now);
-    for (const auto& [instance, member] : directory_.members())
-    {
-        const auto excluded =
-            std::find(
-                request.excluded.begin(), request.excluded.end(), instance) !=
-            request.excluded.end();
-        if (member.record.service != definition_.name || excluded ||
-            !directory_.accepts_new(member, now))
-        {
-            continue;
-        }
-        ++turn;
-        const auto found = pools_.find(instance);
-        if (found == pools_.end())
-        {
-            ranked.push_back({{1, 0, turn % 3}, &member});
-            continue;
-        }
-        const auto& pool = found->second;
-        const bool primary = instance == primary_;
-        const bool behind =
-            pool.position() < position && pool.lag(now) > now - reached_at;
-        if (pool.is_suspect(now) || (!primary && behind))
-        {
-            continue;
-        }
-        const auto access = pool.availability_for(request.customer, now);
-        ranked.push_back(
-            {{static_cast<int>(access), 2 * pool.in_use() + (primary ? 1U : 0U),
-              turn % 3},
-             &member});
-    }
-    std::sort(
-        ranked.begin(), ranked.end(),
-        [](const candidate& left, const candidate& right)
-        { return left.cost < right.cost; });
-    std::vector<const upstream_state*> members;
-    members.reserve(ranked.size());
-    for (const auto& entry : ranked)
-    {
-        members.push_back(entry.member);
-    }
-    return members;
-}
-
 awaitable<result<connection_lease>>
 service_gateway::take_primary(access_request& request)
 {
@@ -408,9 +140,13 @@
     {
         const auto now = clock::now();
         ++ticket_;
-        auto members = use == purpose::primary
-                           ? primary_candidates(now)
-                           : read_candidates(request, position, now);
+        auto members =
+            use == purpose::primary
+                ? primary_candidates(view(), now)
+                : read_candidates(
+                      view(),
+                      {request.customer, position, request.excluded, ticket_},
+                      now);
         const bool usable = !members.empty();
         if (use == purpose::primary && members.size() > 1)
         {
@@ -418,7 +154,7 @@
         }
         for (const auto* member : members)
         {
-            auto& pool = pool_of(member->record.instance);
+            auto& pool = pools_.of(member->record.instance);
             const auto access = pool.availability_for(request.customer, now);
             if (access == member_pool::availability::none)
             {
@@ -428,16 +164,20 @@
             {
                 co_return connection_lease(
                     *this, member->record.instance,
-                    pool.take_idle(request.customer, *request.session));
+                    pool.take_idle(request.customer, *request.session),
+                    request.objective);
             }
             if (access == member_pool::availability::replace)
             {
                 pool.close_oldest_idle();
             }
-            auto lease = co_await open_connection(*member, request);
-            if (lease)
+            const std::string instance = member->record.instance;
+            auto opened = co_await opener_.open(
+                address_of(*member, request.customer), request.wait_until);
+            if (opened != nullptr)
             {
-                co_return std::move(*lease);
+                co_return connection_lease(
+                    *this, instance, std::move(opened), request.objective);
             }
             break;
         }
@@ -454,61 +194,6 @@
     }
 }
 
-awaitable<result<connection_lease>> service_gateway::open_connection(
-    const upstream_state& member, const access_request& request)
-{
-    const auto& record = member.record;
-    member_address target{
-        definition_.name, record.address, record.instance,
-        std::string(request.customer)};
-    // The request may give up before the member answers.
-    auto attempt = std::make_shared<opening>(io_);
-    attempt->timer.expires_after(
-        std::max(request.wait_until - clock::now(), duration::zero()));
-    pool_of(record.instance).on_opening();
-    ++opened_;
-    asio::co_spawn(io_, connect(std::move(target), attempt), asio::detached);
-    boost::system::error_code ignored;
-    co_await attempt->timer.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
-    if (attempt->lease)
-    {
-        co_return std::move(attempt->lease);
-    }
-    attempt->abandoned = !attempt->ended;
-    co_return fail(errc::member_unreachable);
-}
-
-awaitable<void> service_gateway::connect(
-    member_address target, std::shared_ptr<opening> attempt)
-{
-    auto link = co_await connector_.connect(target, connect_timeout);
-    auto& pool = pool_of(target.instance);
-    attempt->ended = true;
-    if (!link)
-    {
-        pool.on_open_failed(link.error(), clock::now());
-        events_.write(
-            "member_connect_failed",
-            {{"service", definition_.name},
-             {"instance", target.instance},
-             {"reason", static_cast<int>(link.error().why)},
-             {"code", to_string(link.error().code)}});
-        attempt->timer.cancel();
-        co_return;
-    }
-    pool.on_opened();
-    auto connection = std::make_unique<pooled_connection>();
-    connection->link = std::move(*link);
-    connection->customer = std::move(target.customer);
-    connection_lease lease(*this, target.instance, std::move(connection));
-    if (!attempt->abandoned)
-    {
-        attempt->lease = std::move(lease);
-        attempt->timer.cancel();
-    }
-}
-
 bool service_gateway::is_congested(time_point now) const
 {
     return waiting() > 0 && now - uncongested_at_ > congestion_time;
@@ -551,7 +236,7 @@
     co_return true;
 }
 
-void service_gateway::wake(queue_map& queues)
+bool service_gateway::wake(queue_map& queues)
 {
     for (auto& [priority, queue] : queues)
     {
@@ -561,32 +246,38 @@
             auto& woken = static_cast<waiter&>(*entry);
             woken.woken = true;
             woken.timer.cancel();
-            return;
+            return true;
         }
     }
+    return false;
+}
+
+void service_gateway::wake_waiters(std::string_view instance)
+{
+    const bool taken = instance == primary_.instance && wake(primary_waiters_);
+    if (!taken)
+    {
+        wake(read_waiters_);
+    }
 }
 
 void service_gateway::give_back(
     const std::string& instance, pooled_ptr connection)
 {
     const auto now = clock::now();
-    auto& pool = pool_of(instance);
+    auto& pool = pools_.of(instance);
     pool.put_back(std::move(connection), now);
     const auto* member = member_of(instance);
     if (member == nullptr || !directory_.accepts_new(*member, now))
     {
         // The primary stays in use until another one leads.
-        if (instance != primary_ || member == nullptr ||
+        if (instance != primary_.instance || member == nullptr ||
             !directory_.accepts_open(*member, now))
         {
             pool.close_all_idle();
         }
     }
-    if (instance == primary_)
-    {
-        wake(primary_waiters_);
-    }
-    wake(read_waiters_);
+    wake_waiters(instance);
 }
 
 awaitable<void> service_gateway::roll_back(connection_lease lease)
@@ -667,15 +358,15 @@
         samples_.add(sent_at, *position);
         wake_position_waiters();
     }
-    if (instance != primary_)
+    if (instance != primary_.instance)
     {
         events_.write(
             "primary_changed", {{"service", definition_.name},
-                                {"from", primary_},
+                                {"from", primary_.instance},
                                 {"to", instance}});
-        primary_ = instance;
+        primary_.instance = instance;
     }
-    primary_proved_at_ = std::max(primary_proved_at_, sent_at);
+    primary_.proved_at = std::max(primary_.proved_at, sent_at);
 }
 
 void service_gateway::start_sampling()
@@ -689,14 +380,15 @@
 
 awaitable<connection_lease> service_gateway::take_for_sample()
 {
-    const auto members = primary_candidates(clock::now());
+    const auto members = primary_candidates(view(), clock::now());
     if (!members.empty())
     {
         const auto& instance = members.front()->record.instance;
-        auto idle = pool_of(instance).take_any_idle();
+        auto idle = pools_.of(instance).take_any_idle();
         if (idle != nullptr)
         {
-            co_return connection_lease(*this, instance, std::move(idle));
+            co_return connection_lease(
+                *this, instance, std::move(idle), duration{});
         }
     }
     const std::string customer = last_customer_;
@@ -742,45 +434,20 @@
 
 void service_gateway::probe_silent_members(time_point now)
 {
-    for (auto& [instance, pool] : pools_)
+    for (auto& [instance, pool] : pools_.all())
     {
         const auto* member = member_of(instance);
         const bool silent = now - pool.waiting_since() > silence_limit &&
                             now - pool.answered_at() > silence_limit;
         const bool down = pool.is_unreachable() && !pool.is_suspect(now);
         if (member != nullptr && (silent || down) && !last_customer_.empty() &&
-            directory_.accepts_open(*member, now) &&
-            probing_.insert(instance).second)
+            directory_.accepts_open(*member, now))
         {
-            asio::co_spawn(
-                io_,
-                probe(
-                    {definition_.name, member->record.address, instance,
-                     last_customer_}),
-                asio::detached);
+            opener_.probe(address_of(*member, last_customer_));
         }
     }
 }
 
-awaitable<void> service_gateway::probe(member_address target)
-{
-    pool_of(target.instance).on_opening();
-    ++opened_;
-    auto link = co_await connector_.connect(target, probe_timeout);
-    auto& pool = pool_of(target.instance);
-    probing_.erase(target.instance);
-    if (!link)
-    {
-        pool.on_open_failed(link.error(), clock::now());
-        co_return;
-    }
-    pool.on_opened();
-    auto connection = std::make_unique<pooled_connection>();
-    connection->link = std::move(*link);
-    connection->customer = std::move(target.customer);
-    connection_lease lease(*this, target.instance, std::move(connection));
-}
-
 service_gateway::reach service_gateway::members_in_reach() const
 {
     reach count;
@@ -792,9 +459,8 @@
             continue;
         }
         ++count.members;
-        const auto pool = pools_.find(instance);
-        count.unreachable +=
-            pool != pools_.end() && pool->second.is_unreachable() ? 1 : 0;
+        const auto* pool = pools_.find(instance);
+        count.unreachable += pool != nullptr && pool->is_unreachable() ? 1 : 0;
     }
     return count;
 }
@@ -808,7 +474,8 @@
         // The first reads need a position.
         start_sampling();
     }
-    for (auto entry = pools_.begin(); entry != pools_.end();)
+    auto& pools = pools_.all();
+    for (auto entry = pools.begin(); entry != pools.end();)
     {
         const auto* member = member_of(entry->first);
         auto& pool = entry->second;
@@ -820,7 +487,7 @@
         {
             pool.close_surplus(now);
         }
-        entry = member == nullptr && pool.open() == 0 ? pools_.erase(entry)
+        entry = member == nullptr && pool.open() == 0 ? pools.erase(entry)
                                                       : std::next(entry);
     }
 }
@@ -828,7 +495,7 @@
 std::vector<service_gateway::member_numbers> service_gateway::numbers() const
 {
     std::vector<member_numbers> all;
-    for (const auto& [instance, pool] : pools_)
+    for (const auto& [instance, pool] : pools_.all())
     {
         all.push_back({instance, pool.in_use(), pool.open()});
     }
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "observability/event_log.hpp"
+#include "pooling/connection_lease.hpp"
+#include "pooling/connection_opener.hpp"
+#include "pooling/member_choice.hpp"
 #include "pooling/member_pool.hpp"
 #include "pooling/ports.hpp"
 
@@ -16,7 +19,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +33,8 @@
     std::string_view customer;
     const session_values* session = nullptr;
     std::uint32_t priority = 0;
+    /// Latency objective of the whole operation.
+    duration objective{};
     /// The request is given up if no connection is free by then.
     time_point wait_until = never;
     /// As `wait_until`, while no member is usable or requests have been
@@ -40,8 +44,6 @@
     std::vector<std::string> excluded;
 };
 
-class service_gateway;
-
 /// @brief Asks other hosts for positions of a service's primary.
 class position_exchange
 {
@@ -52,51 +54,6 @@
     virtual void ask_position(const std::string& service) = 0;
 };
 
-/// @brief A connection taken from a pool. Returns it when destroyed.
-class connection_lease
-{
-public:
-    connection_lease() = default;
-    connection_lease(
-        service_gateway& gateway, std::string instance, pooled_ptr connection);
-    connection_lease(connection_lease&& other) noexcept;
-    connection_lease& operator=(connection_lease&& other) noexcept;
-    ~connection_lease();
-
-    explicit operator bool() const
-    {
-        return connection_ != nullptr;
-    }
-    const std::string& instance() const
-    {
-        return instance_;
-    }
-
-    /// @brief Gives the connection the session's values and the prepared
-    /// statement.
-    awaitable<result<void>> restore(
-        const session_values& session, const prepared_statement* needed,
-        duration timeout);
-    awaitable<result<reply>> forward(
-        std::string_view id, std::string_view text,
-        std::optional<log_position> wait_for, duration timeout);
-    awaitable<result<reply>> run(const command& value, duration timeout);
-
-    /// @brief Ends an open transaction and returns the connection.
-    void roll_back();
-    /// @brief The member does not know a prepared statement.
-    void forget(const prepared_statement& statement);
-    void close();
-    void reset();
-
-private:
-    void note(const result<reply>& answer, time_point sent_at);
-
-    service_gateway* gateway_ = nullptr;
-    std::string instance_;
-    pooled_ptr connection_;
-};
-
 /// @brief Traffic of this host to the members of one service: which member a
 /// request may use, connections to it, and what is known of the primary.
 ///
@@ -174,7 +131,7 @@
     std::size_t waiting() const;
     std::uint64_t opened() const
     {
-        return opened_;
+        return opener_.opened();
     }
     time_point sampled_at() const
     {
@@ -201,41 +158,22 @@
         read
     };
 
-    member_pool& pool_of(const std::string& instance);
+    member_view view() const;
+    member_address
+    address_of(const upstream_state& member, std::string_view customer) const;
     const upstream_state* member_of(std::string_view instance) const;
-    std::vector<const upstream_state*> primary_candidates(time_point now) const;
-    std::vector<const upstream_state*> read_candidates(
-        const access_request& request, log_position position,
-        time_point now) const;
     void note_lag(member_pool& pool, const reply& answer) const;
     awaitable<result<connection_lease>>
     take(access_request& request, purpose use, log_position position);
-    /// A connection that a request waits for while it is being opened.
-    struct opening
-    {
-        explicit opening(boost::asio::io_context& io)
-            : timer(io)
-        {
-        }
-        boost::asio::steady_timer timer;
-        connection_lease lease;
-        bool ended = false;
-        /// The request has given up.
-        bool abandoned = false;
-    };
-
-    awaitable<result<connection_lease>> open_connection(
-        const upstream_state& member, const access_request& request);
-    awaitable<void>
-    connect(member_address target, std::shared_ptr<opening> attempt);
     member_pool::limits pool_limits() const;
     bool is_congested(time_point now) const;
     awaitable<bool> wait_for_release(
         const access_request& request, purpose use, time_point until);
     void give_back(const std::string& instance, pooled_ptr connection);
-    void wake(queue_map& queues);
+    /// Lets a request use the room that a member has again.
+    void wake_waiters(std::string_view instance);
+    static bool wake(queue_map& queues);
     void probe_silent_members(time_point now);
-    awaitable<void> probe(member_address target);
     void start_sampling();
     void wake_position_waiters();
     awaitable<connection_lease> take_for_sample();
@@ -243,29 +181,24 @@
     awaitable<void> roll_back(connection_lease lease);
 
     boost::asio::io_context& io_;
-    member_connector& connector_;
     const upstream_directory& directory_;
     position_exchange& positions_;
     service_definition definition_;
     log::event_log& events_;
     std::size_t hosts_ = 1;
-    std::map<std::string, member_pool, std::less<>> pools_;
+    pool_set pools_;
+    connection_opener opener_;
     leader_samples samples_;
-    /// Member last proved to be the primary.
-    std::string primary_;
-    time_point primary_proved_at_ = time_point::min();
+    proved_primary primary_;
     queue_map primary_waiters_;
     queue_map read_waiters_;
     bool sampling_ = false;
     /// Requests that wait for a position of the primary.
     std::list<boost::asio::steady_timer*> position_waiters_;
-    /// Members that are being probed.
-    std::set<std::string> probing_;
     /// Last time at which no request waited.
     time_point uncongested_at_ = time_point::min();
     /// Customer whose connection the sampler uses.
     std::string last_customer_;
-    std::uint64_t opened_ = 0;
     std::uint64_t ticket_ = 0;
 };
 
--- /dev/null
+++ b/tests/unit/unit-member_choice.cpp
@@ -0,0 +1,165 @@
+#include "pooling/member_choice.hpp"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+using namespace zinniahub;
+using namespace zinniahub::pooling;
+using namespace std::chrono_literals;
+
+const time_point start{1h};
+constexpr std::string_view service = "ledger";
+
+/// A service with a registered primary and two replicas.
+class choice : public testing::Test
+{
+protected:
+    choice()
+    {
+        for (const auto* name : {"m0", "m1", "m2"})
+        {
+            upstream_record record;
+            record.instance = name;
+            record.service = service;
+            record.address = name;
+            record.primary = record.instance == "m0";
+            directory.on_registered(record, start);
+        }
+        pools.set_limits({4, 2, 20});
+    }
+
+    std::vector<std::string>
+    names(const std::vector<const upstream_state*>& members) const
+    {
+        std::vector<std::string> out;
+        for (const auto* member : members)
+        {
+            out.push_back(member->record.instance);
+        }
+        return out;
+    }
+
+    std::vector<std::string> primaries() const
+    {
+        return names(primary_candidates(view(), now));
+    }
+
+    std::vector<std::string>
+    readers(log_position position, std::vector<std::string> excluded = {}) const
+    {
+        return names(
+            read_candidates(view(), {"shop", position, excluded, turn}, now));
+    }
+
+    member_view view() const
+    {
+        return {directory, service, pools, primary, samples};
+    }
+
+    time_point now = start + 1s;
+    std::uint64_t turn = 0;
+    upstream_directory directory{upstream_directory::settings{}};
+    pool_set pools;
+    proved_primary primary;
+    leader_samples samples;
+};
+
+// Guards against a registration that is out of date and hides the member that
+// was proved to be the primary.
+TEST_F(choice, primary_that_was_proved_last_comes_first)
+{
+    EXPECT_EQ(primaries().front(), "m0");
+    primary = {"m2", now};
+    EXPECT_EQ(primaries().front(), "m2");
+    // A later registration is newer than the proof.
+    auto record = directory.members().find("m1")->second.record;
+    record.primary = true;
+    ++record.sequence;
+    directory.on_registered(record, now + 1s);
+    now += 2s;
+    EXPECT_EQ(primaries().front(), "m1");
+}
+
+// Guards against statements that go on to a member that said that it is not
+// the primary.
+TEST_F(choice, member_that_denied_is_not_the_primary)
+{
+    reply refusal;
+    refusal.code = reply_code::read_only;
+    pools.of("m0").on_answer(refusal, now);
+    EXPECT_NE(primaries().front(), "m0");
+    now += 1s;
+    EXPECT_EQ(primaries().front(), "m0");
+}
+
+// Guards against reads at members whose log cannot have the position yet.
+TEST_F(choice, read_passes_over_a_member_that_is_behind)
+{
+    primary = {"m0", now};
+    samples.add(now - 1s, {1, 10});
+    samples.add(now - 100ms, {1, 20});
+    pools.of("m0").set_position({1, 20}, 0ms, now);
+    pools.of("m1").set_position({1, 9}, 900ms, now);
+    pools.of("m2").set_position({1, 20}, 0ms, now);
+    EXPECT_EQ(readers({1, 20}).size(), 2U);
+    for (const auto& name : readers({1, 20}))
+    {
+        EXPECT_NE(name, "m1");
+    }
+    // The position is old enough that the member has it by now.
+    EXPECT_EQ(readers({1, 10}).size(), 3U);
+    // A lag that was seen long ago says nothing.
+    now += 2s;
+    EXPECT_EQ(readers({1, 20}).size(), 3U);
+}
+
+// Guards against a read that goes back to the member that refused it.
+TEST_F(choice, read_does_not_try_a_member_twice)
+{
+    EXPECT_EQ(readers({}, {"m0", "m2"}), std::vector<std::string>{"m1"});
+}
+
+// Guards against replicas that stay unused while the primary has the writes,
+// and against one replica that gets all reads.
+TEST_F(choice, reads_prefer_replicas_with_less_load_in_turn)
+{
+    primary = {"m0", now};
+    for (const auto* name : {"m0", "m1", "m2"})
+    {
+        pools.of(name).set_position({1, 1}, 0ms, now);
+    }
+    std::set<std::string> first;
+    for (turn = 0; turn < 3; ++turn)
+    {
+        first.insert(readers({1, 1}).front());
+        EXPECT_EQ(readers({1, 1}).back(), "m0");
+    }
+    EXPECT_EQ(first, (std::set<std::string>{"m1", "m2"}));
+    pools.of("m1").on_opening();
+    EXPECT_EQ(readers({1, 1}).front(), "m2");
+}
+
+// Guards against requests that are sent on to a member that answers slowly
+// because too many wait there.
+TEST_F(choice, member_without_room_is_not_available)
+{
+    auto& pool = pools.of("m1");
+    EXPECT_EQ(
+        pool.availability_for("shop", now), member_pool::availability::open);
+    for (int i = 0; i < 20; ++i)
+    {
+        const auto sent_at = now + 1s * i;
+        pool.on_statement_answered(
+            sent_at, sent_at + 1ms, 100ms, reply_code::busy);
+    }
+    pool.on_call(now);
+    EXPECT_EQ(
+        pool.availability_for("shop", now), member_pool::availability::none);
+    pool.on_call_ended(now);
+    EXPECT_EQ(
+        pool.availability_for("shop", now), member_pool::availability::open);
+}
+
+} // namespace
