Let a new holder of the duty replace a primary that it cannot reach

The holder gave the duty up, another host took it 2 s later and then did nothing until the zone was back, 4 s of refusals for two thirds of the statements: a planner that has never seen the primary waited for every member to say that it is none.

Ruled out: a shorter lease of the duty (turns inside the lease duration).

Change: the registrations tell the planner who the primary is, until a member says otherwise. A presumed primary is replaced for its silence only while all other members answer and none is the primary; two registered primaries or a member that cannot be asked make the planner wait as before. Holds before the order are unchanged.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -34,6 +34,8 @@
     bool leaving = false;
     /// Its registration is missing.
     bool missing = false;
+    /// Its registration says that it is the primary.
+    bool registered_primary = false;
 };
 
 namespace failover_action
@@ -171,6 +173,7 @@
 
     bool is_fresh(const member_state& member, time_point now) const;
     const member_state* current_primary(time_point now) const;
+    void presume_primary();
     std::uint64_t newest_term() const;
     void query_members(std::vector<failover_step>& steps, time_point now);
     bool needs_change(time_point now);
@@ -199,6 +202,8 @@
     /// Last member seen as the primary, with its term.
     std::string primary_;
     std::uint64_t primary_term_ = 0;
+    /// `primary_` is known from its registration only.
+    bool presumed_ = false;
     std::optional<time_point> stalled_since_;
     /// Term that the change has to exceed.
     std::uint64_t old_term_ = 0;
--- a/src/coordination/promotion_duty.cpp
+++ b/src/coordination/promotion_duty.cpp
@@ -226,7 +226,8 @@
             !directory_.has_left(member))
         {
             members.push_back(
-                {instance, member.leaving, member.missing_since != never});
+                {instance, member.leaving, member.missing_since != never,
+                 member.record.primary});
         }
     }
     service.planner.on_members(members, definition.sync_replicas);
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -34,6 +34,7 @@
     phase_ = phase::steady;
     primary_.clear();
     primary_term_ = 0;
+    presumed_ = false;
     stalled_since_.reset();
     ordered_.clear();
     order_pending_ = false;
@@ -57,6 +58,37 @@
     {
         members_[member.instance].definition = member;
     }
+    presume_primary();
+}
+
+// A host that takes the duty while the primary is out of reach has never seen
+// its status.
+void failover_planner::presume_primary()
+{
+    if (!primary_.empty() && !presumed_)
+    {
+        return;
+    }
+    primary_.clear();
+    presumed_ = false;
+    const member_state* found = nullptr;
+    for (const auto& [instance, member] : members_)
+    {
+        if (member.definition.registered_primary)
+        {
+            if (found != nullptr)
+            {
+                return;
+            }
+            found = &member;
+        }
+    }
+    // A member that answers says itself whether it is the primary.
+    if (found != nullptr && !found->status)
+    {
+        primary_ = found->definition.instance;
+        presumed_ = true;
+    }
 }
 
 void failover_planner::on_status(
@@ -74,10 +106,16 @@
     member.status_at = now;
     member.silent_since.reset();
     member.refused_since.reset();
+    if (presumed_ && instance == primary_)
+    {
+        primary_.clear();
+        presumed_ = false;
+    }
     if (status.primary && status.term >= primary_term_)
     {
         primary_ = found->first;
         primary_term_ = status.term;
+        presumed_ = false;
     }
 }
 
@@ -190,6 +228,14 @@
                    });
     }
     const auto& member = found->second;
+    const bool others_deny = std::all_of(
+        members_.begin(), members_.end(),
+        [this, now](const auto& entry)
+        { return entry.first == primary_ || is_fresh(entry.second, now); });
+    if (presumed_ && !others_deny)
+    {
+        return false;
+    }
     if (member.refused_since &&
         now - *member.refused_since >= settings_.refusal_limit)
     {
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -47,11 +47,31 @@
         std::vector<replication_member> known;
         for (const auto& [name, state] : members_)
         {
-            known.push_back({name, leaving_.contains(name), false});
+            known.push_back(
+                {name, leaving_.contains(name), false,
+                 registered_primaries_.contains(name)});
         }
         planner_.on_members(known, 1);
     }
 
+    /// A member that reaches the store registers its role.
+    void register_member(const std::string& name)
+    {
+        registered_primaries_.erase(name);
+        if (members_[name].primary)
+        {
+            registered_primaries_.insert(name);
+        }
+        tell_members();
+    }
+
+    /// Another host takes the duty and knows the registrations only.
+    void move_duty()
+    {
+        planner_.reset();
+        tell_members();
+    }
+
     /// A commit at the primary; acknowledged if a replica receives it.
     void commit()
     {
@@ -212,6 +232,7 @@
 
     std::map<std::string, member> members_;
     std::set<std::string> leaving_;
+    std::set<std::string> registered_primaries_{"a"};
     /// Replicas that the primary does not reach.
     std::set<std::string> deaf_;
     std::vector<late_order> late_;
@@ -309,6 +330,38 @@
     EXPECT_FALSE(model.lost_);
 }
 
+// Guards against a service without a primary until the cut off one is back,
+// because the host that takes the duty has never seen its status.
+TEST(failover_planner, new_holder_replaces_a_primary_out_of_reach)
+{
+    service_model model;
+    model.run(1s);
+    model.commit();
+    model.members_["a"].cut = true;
+    model.run(200ms);
+    model.move_duty();
+    model.run(2s);
+    EXPECT_NE(model.primary_name(), "a");
+    EXPECT_FALSE(model.lost_);
+}
+
+// Guards against a promotion on the word of an old registration while the
+// primary answers, or while another member cannot be asked.
+TEST(failover_planner, new_holder_does_not_trust_an_old_registration)
+{
+    service_model model;
+    model.members_["a"].primary = false;
+    model.members_["b"].primary = true;
+    model.members_["a"].cut = true;
+    model.move_duty();
+    model.run(5s);
+    EXPECT_EQ(model.orders_, 0U);
+    model.members_["b"].running = false;
+    model.move_duty();
+    model.run(5s);
+    EXPECT_EQ(model.orders_, 0U);
+}
+
 // Guards against replicas that stay stopped after the primary is back.
 TEST(failover_planner, releases_replicas_when_the_primary_is_back)
 {
@@ -328,8 +381,8 @@
     EXPECT_FALSE(model.lost_);
 }
 
-// Guards against lost commits over any order of crashes, cuts, deaf replicas
-// and orders that are carried out late.
+// Guards against lost commits over any order of crashes, cuts, deaf replicas,
+// moves of the duty and orders that are carried out late.
 TEST(failover_planner, never_loses_an_acknowledged_commit)
 {
     EXPECT_TRUE(rc::check(
@@ -343,7 +396,7 @@
             {
                 const auto& name = names[*rc::gen::inRange<std::size_t>(0, 3)];
                 auto& state = model.members_[name];
-                switch (*rc::gen::inRange(0, 9))
+                switch (*rc::gen::inRange(0, 11))
                 {
                 case 0:
                     state.running = false;
@@ -377,6 +430,15 @@
                         std::chrono::milliseconds(*rc::gen::inRange(50, 900)),
                         true);
                     break;
+                case 6:
+                    model.move_duty();
+                    break;
+                case 7:
+                    if (state.running && !state.cut)
+                    {
+                        model.register_member(name);
+                    }
+                    break;
                 default:
                     model.commit();
                     model.tick(
