Let hosts give one another the last token and parts of a token

Its bucket on a host holds two tokens, and a host gave at most half of what it held, in whole tokens, so only a full bucket gave anything: 1 to 2 tokens on each of 8 hosts served nobody while requests inside the limit were refused.

Change: a host gives half of what it holds, or its last token, in parts of a token. Counts in messages that are no number or above 1e9 count as none.

--- a/include/zinniahub/rate_ledger.hpp
+++ b/include/zinniahub/rate_ledger.hpp
@@ -109,16 +109,18 @@
     bool try_take(time_point now);
 
     /// @brief Tokens to ask another host for, 0 if none are needed.
-    std::uint32_t wanted(time_point now);
-    /// @brief Takes tokens out for another host, at most half of those held.
-    std::uint32_t give(std::uint32_t asked, time_point now);
+    double wanted(time_point now);
+    /// @brief Takes tokens out for another host: at most half of those held, or
+    /// the last one. Parts of a token are given too, so that what several hosts
+    /// hold of a small limit serves a request.
+    double give(double asked, time_point now);
     /// @brief Puts a token back whose operation has not been sent to a member.
     void put_back(time_point now)
     {
         bucket_.put(1, now);
     }
     /// @brief Adds tokens from another host. Those that do not fit are dropped.
-    void receive(std::uint32_t tokens, time_point now);
+    void receive(double tokens, time_point now);
 
     double level(time_point now);
     double capacity() const;
--- a/src/coordination/rate_keeper.cpp
+++ b/src/coordination/rate_keeper.cpp
@@ -36,6 +36,9 @@
 /// Hosts that are asked before a request is refused.
 constexpr std::size_t hosts_asked = 6;
 
+/// No limit is as high; a larger number is not from a host.
+constexpr double largest_count = 1e9;
+
 constexpr std::string_view word_ask = "ask";
 constexpr std::string_view word_give = "give";
 
@@ -235,7 +238,7 @@
 {
     const auto now = clock::now();
     const auto peers = hosts_.peers();
-    const auto wanted = std::max<std::uint32_t>(state.account.wanted(now), 1);
+    const auto wanted = state.account.wanted(now);
     state.asked_at = now;
     if (peers.empty() || state.account.capacity() < 1)
     {
@@ -243,7 +246,8 @@
         return;
     }
     const auto& peer = peers[next_peer_++ % peers.size()];
-    network_.send(peer, fmt::format("{} {} {}", word_ask, customer, wanted));
+    network_.send(
+        peer, fmt::format("{} {} {:.3f}", word_ask, customer, wanted));
 }
 
 rate_keeper::token_message rate_keeper::decode_message(std::string_view text)
@@ -252,6 +256,11 @@
     const auto found = customers_.find(take_word(text));
     message.state = found == customers_.end() ? nullptr : &found->second;
     std::from_chars(text.data(), text.data() + text.size(), message.count);
+    // Also false for what is not a number.
+    if (!(message.count > 0 && message.count < largest_count))
+    {
+        message.count = 0;
+    }
     return message;
 }
 
@@ -266,7 +275,8 @@
     const auto given = state.account.give(message.count, clock::now());
     state.counts.given += given;
     network_.send(
-        from, fmt::format("{} {} {}", word_give, state.counts.customer, given));
+        from,
+        fmt::format("{} {} {:.3f}", word_give, state.counts.customer, given));
 }
 
 void rate_keeper::on_answer(std::string_view text)
--- a/src/coordination/rate_keeper.hpp
+++ b/src/coordination/rate_keeper.hpp
@@ -52,8 +52,8 @@
         double level = 0;
         std::uint64_t granted = 0;
         std::uint64_t refused = 0;
-        std::uint64_t received = 0;
-        std::uint64_t given = 0;
+        double received = 0;
+        double given = 0;
     };
     std::vector<customer_numbers> numbers() const;
     std::uint32_t share() const
@@ -89,7 +89,7 @@
     struct token_message
     {
         customer_state* state = nullptr;
-        std::uint32_t count = 0;
+        double count = 0;
     };
 
     token_message decode_message(std::string_view text);
--- a/src/lib/rate_ledger.cpp
+++ b/src/lib/rate_ledger.cpp
@@ -23,6 +23,9 @@
 /// A host asks for tokens when it holds less than this part of its capacity.
 constexpr double low_level = 0.3;
 
+/// Tokens that are worth a message.
+constexpr double smallest_gift = 0.2;
+
 } // namespace
 
 std::uint32_t rate_shares::sum() const
@@ -196,24 +199,24 @@
     return bucket_limit().burst;
 }
 
-std::uint32_t rate_account::wanted(time_point now)
+double rate_account::wanted(time_point now)
 {
-    const double room = capacity() - level(now);
-    if (room < 1 || level(now) > low_level * capacity())
-    {
-        return 0;
-    }
-    return static_cast<std::uint32_t>(room);
+    const double held = level(now);
+    return held < 1 || held <= low_level * capacity() ? capacity() - held : 0;
 }
 
-std::uint32_t rate_account::give(std::uint32_t asked, time_point now)
+double rate_account::give(double asked, time_point now)
 {
-    const auto offered = static_cast<std::uint32_t>(level(now) / 2);
-    const auto given = std::min(asked, offered);
-    return given > 0 && bucket_.try_take(given, now) ? given : 0;
+    const double held = level(now);
+    const double offered = std::max(held / 2, std::min(held, 1.0));
+    if (offered < smallest_gift)
+    {
+        return 0;
+    }
+    return bucket_.take_up_to(std::min(asked, offered), now);
 }
 
-void rate_account::receive(std::uint32_t tokens, time_point now)
+void rate_account::receive(double tokens, time_point now)
 {
     bucket_.put(tokens, now);
 }
--- a/tests/unit/unit-rate_ledger.cpp
+++ b/tests/unit/unit-rate_ledger.cpp
@@ -143,3 +143,41 @@
     }
     EXPECT_GE(served, 396);
 }
+
+// Guards against a small limit that is divided into parts of a token which no
+// host can use, while requests within the limit are refused.
+TEST(rate_account, hosts_together_serve_a_small_limit_in_full)
+{
+    constexpr std::size_t hosts = 8;
+    constexpr rate_limit small{30, 30};
+    std::vector<rate_account> accounts(
+        hosts, rate_account(allowance, small, start));
+    for (auto& account : accounts)
+    {
+        account.set_share(2 * rate_shares::whole / (2 * hosts + 1), start);
+    }
+    // A quarter of the load comes to one host.
+    constexpr auto load = 45;
+    constexpr auto period = 20s;
+    int served = 0;
+    for (int request = 1; request <= load * (period / 1s); ++request)
+    {
+        const auto now = start + request * duration(1s) / load;
+        const auto host = request % 4 == 0
+                              ? 0
+                              : static_cast<std::size_t>(request * 7 % hosts);
+        auto& own = accounts[host];
+        bool taken = own.try_take(now);
+        for (std::size_t i = 1; i < hosts && !taken; ++i)
+        {
+            auto& other = accounts[(host + i) % hosts];
+            own.receive(other.give(own.wanted(now), now), now);
+            taken = own.try_take(now);
+        }
+        served += taken ? 1 : 0;
+    }
+    // What the rules of the limit allow in a long run.
+    const auto allowed =
+        small.rate * (1 + allowance.overage) * to_seconds(period);
+    EXPECT_GE(served, allowed);
+}
