Claim the duty only at the revision at which it was vacant

A claim grants a lease first and expected the key's revision as known after that; when the key of the other host arrived meanwhile, the claim replaced it. Two holders take turns within one lease that way.

Ruled out: an expired lease (the first holder's was 180 ms old), give-up by the first holder (its log says another_holder).

Change: the claim expects the revision at which it found the duty vacant.

Test: unit-promotion_duty with a store of one key and another host that is quicker; failed before (the duty was taken from the other host), passes now.

--- a/src/coordination/promotion_duty.cpp
+++ b/src/coordination/promotion_duty.cpp
@@ -122,6 +122,8 @@
 
 awaitable<void> promotion_duty::claim()
 {
+    // Another host may take the duty while the lease is granted.
+    const auto vacant_at = revision_;
     const auto sent_at = lease_clock::on_request_sent(clock::now());
     const auto lease = co_await store_.grant(settings_.ttl);
     if (!lease)
@@ -129,7 +131,7 @@
         co_return;
     }
     store_transaction change;
-    change.expect.push_back({std::string(duty_key), revision_});
+    change.expect.push_back({std::string(duty_key), vacant_at});
     change.writes.push_back({std::string(duty_key), settings_.host, lease->id});
     const auto written = co_await store_.commit(change);
     if (!written)
--- a/tests/unit/unit-member_choice.cpp
+++ b/tests/unit/unit-member_choice.cpp
@@ -34,6 +34,7 @@
     names(const std::vector<const upstream_state*>& members) const
     {
         std::vector<std::string> out;
+        out.reserve(members.size());
         for (const auto* member : members)
         {
             out.push_back(member->record.instance);
