Wait for a leaving replica that is out of reach

The primary of a service was released at 24 s: its successor and the old primary, now a leaving replica, stand in the zone that is cut off at 33.5 s. The new primary goes on acknowledging commits there with the leaving replica, which receives until it ends. Its registration lapsed because of the cut, and the directory took a missing registration after an announced end for a member that has left, so the new holder of the duty promoted the third member, which lacked the commits.

Change: such a member is asked like the others and counts as gone only when its address refuses connections or belongs to another member. A missing member with a successor at its address is left out as before.

Tests: a leaving replica out of reach is waited for, one that has ended is not, both with and without a move of the duty; the directory's test said that a member with an announced end has left, which was the fault, and now asks for the opposite.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -36,6 +36,9 @@
     bool missing = false;
     /// Its registration says that it is the primary.
     bool registered_primary = false;
+    /// It announced its end, and its registration is missing since. It may have
+    /// ended, with its log, or be out of reach.
+    bool ending = false;
 };
 
 namespace failover_action
@@ -92,7 +95,8 @@
 /// receiving, so that from then on no commit is acknowledged without the
 /// candidate. The candidate is promoted only if its log reaches as far as the
 /// logs of the stopped replicas. A replica that cannot be asked may hold the
-/// only copy of a commit; the planner then waits for it or for the primary.
+/// only copy of a commit; the planner then waits for it or for the primary,
+/// unless it announced its end and nobody listens at its address.
 ///
 /// A replica that was stopped receives again only after an order that confirms
 /// the present primary, because an earlier order may still be carried out.
@@ -172,6 +176,8 @@
     using member_map = std::map<std::string, member_state, std::less<>>;
 
     bool is_fresh(const member_state& member, time_point now) const;
+    /// True if the member has ended and its log is gone with it.
+    static bool has_ended(const member_state& member);
     const member_state* current_primary(time_point now) const;
     void presume_primary();
     std::uint64_t newest_term() const;
--- a/include/zinniahub/upstream_directory.hpp
+++ b/include/zinniahub/upstream_directory.hpp
@@ -95,10 +95,9 @@
     bool accepts_new(const upstream_state& member, time_point now) const;
     /// @brief True while statements of started operations may be sent.
     bool accepts_open(const upstream_state& member, time_point now) const;
-    /// @brief True if the member has left for good: it announced that it leaves
-    /// before its registration ended, or another member has its address. Its
-    /// log went to its successor.
-    bool has_left(const upstream_state& member) const;
+    /// @brief True if the member's registration is missing and another member
+    /// has its address: the member has ended.
+    bool was_replaced(const upstream_state& member) const;
     /// @brief True if the failure domain is out of service.
     bool is_evacuated(std::string_view domain) const
     {
--- a/src/coordination/promotion_duty.cpp
+++ b/src/coordination/promotion_duty.cpp
@@ -225,11 +225,12 @@
     for (const auto& [instance, member] : directory_.members())
     {
         if (member.record.service == definition.name &&
-            !directory_.has_left(member))
+            !directory_.was_replaced(member))
         {
             members.push_back(
                 {instance, member.leaving, member.missing_since != never,
-                 member.record.primary});
+                 member.record.primary,
+                 member.record.draining && member.missing_since != never});
         }
     }
     service.planner.on_members(members, definition.sync_replicas);
@@ -323,8 +324,10 @@
         }
         else
         {
-            refused =
-                opened.error().why == pooling::connect_failure::reason::refused;
+            // Nobody listens there, or another member does.
+            refused = opened.error().why ==
+                          pooling::connect_failure::reason::refused ||
+                      opened.error().code == pooling::reply_code::misrouted;
             link.reset();
         }
     }
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -163,6 +163,11 @@
            now - member.asked_at <= settings_.status_validity;
 }
 
+bool failover_planner::has_ended(const member_state& member)
+{
+    return member.definition.ending && member.refused_since.has_value();
+}
+
 std::uint64_t failover_planner::newest_term() const
 {
     std::uint64_t newest = primary_term_;
@@ -222,16 +227,21 @@
         return !members_.empty() &&
                std::all_of(
                    members_.begin(), members_.end(),
-                   [this, now](const auto& entry) {
-                       return is_fresh(entry.second, now) &&
-                              !entry.second.status->primary;
+                   [this, now](const auto& entry)
+                   {
+                       return has_ended(entry.second) ||
+                              (is_fresh(entry.second, now) &&
+                               !entry.second.status->primary);
                    });
     }
     const auto& member = found->second;
     const bool others_deny = std::all_of(
         members_.begin(), members_.end(),
         [this, now](const auto& entry)
-        { return entry.first == primary_ || is_fresh(entry.second, now); });
+        {
+            return entry.first == primary_ || has_ended(entry.second) ||
+                   is_fresh(entry.second, now);
+        });
     if (presumed_ && !others_deny)
     {
         return false;
@@ -322,7 +332,7 @@
     bool all_held = true;
     for (auto& [instance, member] : members_)
     {
-        if (instance == primary_ || &member == &candidate)
+        if (instance == primary_ || &member == &candidate || has_ended(member))
         {
             continue;
         }
--- a/src/lib/upstream_directory.cpp
+++ b/src/lib/upstream_directory.cpp
@@ -88,13 +88,9 @@
         });
 }
 
-bool upstream_directory::has_left(const upstream_state& member) const
+bool upstream_directory::was_replaced(const upstream_state& member) const
 {
-    if (member.missing_since == never)
-    {
-        return false;
-    }
-    return member.record.draining ||
+    return member.missing_since != never &&
            std::any_of(
                members_.begin(), members_.end(),
                [&member](const auto& entry)
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -48,8 +48,8 @@
         for (const auto& [name, state] : members_)
         {
             known.push_back(
-                {name, leaving_.contains(name), false,
-                 registered_primaries_.contains(name)});
+                {name, leaving_.contains(name), ending_.contains(name),
+                 registered_primaries_.contains(name), ending_.contains(name)});
         }
         planner_.on_members(known, 1);
     }
@@ -233,6 +233,8 @@
     std::map<std::string, member> members_;
     std::set<std::string> leaving_;
     std::set<std::string> registered_primaries_{"a"};
+    /// Members that announced their end and whose registration is missing.
+    std::set<std::string> ending_;
     /// Replicas that the primary does not reach.
     std::set<std::string> deaf_;
     std::vector<late_order> late_;
@@ -330,6 +332,55 @@
     EXPECT_FALSE(model.lost_);
 }
 
+// Guards against a promotion while a replica that announced its end is cut off
+// together with the primary: it goes on receiving commits until it ends.
+TEST(failover_planner, waits_for_a_leaving_replica_that_is_out_of_reach)
+{
+    for (const bool moves : {false, true})
+    {
+        service_model model;
+        model.run(1s);
+        model.leaving_ = {"c"};
+        model.ending_ = {"c"};
+        model.members_["a"].cut = true;
+        model.members_["c"].cut = true;
+        model.deaf_ = {"b"};
+        model.tell_members();
+        model.run(200ms);
+        model.commit();
+        if (moves)
+        {
+            model.move_duty();
+        }
+        model.run(5s);
+        EXPECT_EQ(model.orders_, 0U);
+        EXPECT_FALSE(model.lost_);
+    }
+}
+
+// Guards against a promotion that waits for a replica that has ended as
+// announced.
+TEST(failover_planner, does_not_wait_for_a_leaving_replica_that_has_ended)
+{
+    for (const bool moves : {false, true})
+    {
+        service_model model;
+        model.run(1s);
+        model.leaving_ = {"c"};
+        model.ending_ = {"c"};
+        model.members_["a"].cut = true;
+        model.members_["c"].running = false;
+        model.tell_members();
+        if (moves)
+        {
+            model.move_duty();
+        }
+        model.run(3s);
+        EXPECT_EQ(model.primary_name(), "b");
+        EXPECT_FALSE(model.lost_);
+    }
+}
+
 // Guards against a service without a primary until the cut off one is back,
 // because the host that takes the duty has never seen its status.
 TEST(failover_planner, new_holder_replaces_a_primary_out_of_reach)
--- a/tests/unit/unit-upstream_directory.cpp
+++ b/tests/unit/unit-upstream_directory.cpp
@@ -100,9 +100,10 @@
     EXPECT_EQ(directory_.members().count("a"), 0U);
 }
 
-// Guards against a promotion that waits for a member that left as planned, and
-// against one that does not wait for a member that is only out of reach.
-TEST_F(directory_test, tells_members_that_left_from_those_out_of_reach)
+// Guards against a promotion that waits for a member whose successor runs, and
+// against one that does not wait for a member that is only out of reach: the
+// registration of a member that announced its end lapses in a partition too.
+TEST_F(directory_test, tells_replaced_members_from_those_out_of_reach)
 {
     auto cut = record("cut");
     cut.address = "10.0.0.1:1";
@@ -113,10 +114,10 @@
     auto successor = record("successor");
     successor.address = "10.0.0.2:1";
     directory_.on_registered(successor, start + 1s);
-    EXPECT_FALSE(directory_.has_left(member("cut")));
-    EXPECT_TRUE(directory_.has_left(member("replaced")));
-    EXPECT_TRUE(directory_.has_left(member("left")));
-    EXPECT_FALSE(directory_.has_left(member("successor")));
+    EXPECT_FALSE(directory_.was_replaced(member("cut")));
+    EXPECT_TRUE(directory_.was_replaced(member("replaced")));
+    EXPECT_FALSE(directory_.was_replaced(member("left")));
+    EXPECT_FALSE(directory_.was_replaced(member("successor")));
 }
 
 // Guards against two registered primaries of which the older one is taken.
