Write operator output with nlohmann/json

Ruled out: replacing the small factories at all 150 call sites; they keep the members in order and the call sites short.

--- a/src/operator/apply_command.cpp
+++ b/src/operator/apply_command.cpp
@@ -235,10 +235,10 @@
     {
         std::vector<std::pair<std::string_view, json::value>> members{
             {"changed", json::boolean(report.outcome.changed)},
-            {"resource", json::value{to_json(resource)}}};
+            {"resource", to_json(resource)}};
         if (!report.generated_key.empty())
             members.emplace_back("key", json::string(report.generated_key));
-        print_line(json::object(members).text);
+        print_line(json::to_text(json::object(members)));
         return;
     }
     print_line(fmt::format(
@@ -285,10 +285,10 @@
             fmt::format("withdrawn {}/{} revision={}", kind, name, revision));
         return;
     }
-    print_line(json::object({{"kind", json::string(kind)},
-                             {"name", json::string(name)},
-                             {"revision", json::number(revision)}})
-                   .text);
+    print_line(json::to_text(json::object(
+        {{"kind", json::string(kind)},
+         {"name", json::string(name)},
+         {"revision", json::number(revision)}})));
 }
 
 result<std::uint64_t> withdraw(
--- a/src/operator/exec_command.cpp
+++ b/src/operator/exec_command.cpp
@@ -219,7 +219,7 @@
             values.push_back(to_json(outcome));
     }
     if (format == output_format::json)
-        print_line(json::array(values).text);
+        print_line(json::to_text(json::array(values)));
 }
 
 exit_code
--- a/src/operator/output.cpp
+++ b/src/operator/output.cpp
@@ -45,7 +45,7 @@
 {
     if (format == output_format::json)
     {
-        print_line(to_json(failure).text);
+        print_line(json::to_text(to_json(failure)));
     }
     else
     {
--- a/src/operator/read_command.cpp
+++ b/src/operator/read_command.cpp
@@ -59,10 +59,11 @@
         if (format == output_format::text)
             print_line(to_text(resource));
         else
-            values.push_back({to_json(resource)});
+            values.push_back(to_json(resource));
     }
     if (format == output_format::json)
-        print_line(as_list ? json::array(values).text : values.front().text);
+        print_line(
+            json::to_text(as_list ? json::array(values) : values.front()));
 }
 
 exit_code run_read(
--- a/src/operator/resource.cpp
+++ b/src/operator/resource.cpp
@@ -199,13 +199,13 @@
     return zinniahub::validate(*resource);
 }
 
-std::string to_json(const stored_resource& resource)
+json::value to_json(const stored_resource& resource)
 {
-    return json::object({{"kind", json::string(resource.kind.name)},
-                         {"name", json::string(resource.name)},
-                         {"revision", json::number(resource.revision)},
-                         {"declared", to_json_value(resource.value)}})
-        .text;
+    return json::object(
+        {{"kind", json::string(resource.kind.name)},
+         {"name", json::string(resource.name)},
+         {"revision", json::number(resource.revision)},
+         {"declared", to_json_value(resource.value)}});
 }
 
 std::string to_text(const stored_resource& resource)
--- a/src/operator/resource.hpp
+++ b/src/operator/resource.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kv/platform_client.hpp"
+#include "operator/json.hpp"
 #include "zinniahub/v1/configuration.pb.h"
 
 #include <zinniahub/error.hpp>
@@ -55,7 +56,7 @@
 result<void> validate(const v1::Resource& value);
 
 /// @brief Formats a resource as JSON. Keys are shown by id and digest.
-std::string to_json(const stored_resource& resource);
+json::value to_json(const stored_resource& resource);
 
 /// @brief Formats a resource as one line.
 std::string to_text(const stored_resource& resource);
--- a/src/operator/settings_command.cpp
+++ b/src/operator/settings_command.cpp
@@ -38,10 +38,10 @@
     else
         for (const auto& fault : values.error())
             faults.push_back(to_json(fault));
-    print_line(json::object({{"ok", json::boolean(values.has_value())},
-                             {"faults", json::array(faults)},
-                             {"warnings", json::strings(warnings)}})
-                   .text);
+    print_line(json::to_text(json::object(
+        {{"ok", json::boolean(values.has_value())},
+         {"faults", json::array(faults)},
+         {"warnings", json::strings(warnings)}})));
 }
 
 void print_text(const loaded& values)
--- a/src/operator/watch.cpp
+++ b/src/operator/watch.cpp
@@ -128,11 +128,11 @@
     std::vector<json::value> lagging;
     for (const auto& entry : status.lagging)
         lagging.push_back(to_json_value(entry));
-    return json::object({{"resource", json::value{to_json(watched.declared)}},
-                         {"converged", json::boolean(status.converged)},
-                         {"observed", json::string(status.observed)},
-                         {"lagging", json::array(lagging)}})
-        .text;
+    return json::to_text(json::object(
+        {{"resource", to_json(watched.declared)},
+         {"converged", json::boolean(status.converged)},
+         {"observed", json::string(status.observed)},
+         {"lagging", json::array(lagging)}}));
 }
 
 std::string to_text(const watched_resource& watched)
--- a/tests/standins/load_cost.cpp
+++ b/tests/standins/load_cost.cpp
@@ -383,22 +383,18 @@
     return figures;
 }
 
-std::string to_json(const cost_figures& figures)
+json::value to_json(const cost_figures& figures)
 {
     return json::object(
-               {{"proxies", json::number(std::uint64_t(figures.proxies))},
-                {"connections",
-                 json::number(std::uint64_t(figures.connections))},
-                {"statements", json::number(figures.statements)},
-                {"statements_per_core_s",
-                 json::number(figures.statements_per_core_s)},
-                {"direct_p50_ms", json::number(figures.direct_p50_ms)},
-                {"direct_p99_ms", json::number(figures.direct_p99_ms)},
-                {"proxy_p50_ms", json::number(figures.proxy_p50_ms)},
-                {"proxy_p99_ms", json::number(figures.proxy_p99_ms)},
-                {"kib_per_connection",
-                 json::number(figures.kib_per_connection)}})
-        .text;
+        {{"proxies", json::number(std::uint64_t(figures.proxies))},
+         {"connections", json::number(std::uint64_t(figures.connections))},
+         {"statements", json::number(figures.statements)},
+         {"statements_per_core_s", json::number(figures.statements_per_core_s)},
+         {"direct_p50_ms", json::number(figures.direct_p50_ms)},
+         {"direct_p99_ms", json::number(figures.direct_p99_ms)},
+         {"proxy_p50_ms", json::number(figures.proxy_p50_ms)},
+         {"proxy_p99_ms", json::number(figures.proxy_p99_ms)},
+         {"kib_per_connection", json::number(figures.kib_per_connection)}});
 }
 
 cost_options parse_cost_options(int argc, const char** argv)
@@ -450,10 +446,11 @@
             row.statements_per_core_s, row.direct_p50_ms, row.direct_p99_ms,
             row.proxy_p50_ms, row.proxy_p99_ms, row.kib_per_connection);
         std::fflush(stdout);
-        elements.push_back({to_json(row)});
+        elements.push_back(to_json(row));
     }
     if (!options.json_path.empty())
-        std::ofstream(options.json_path) << json::array(elements).text << "\n";
+        std::ofstream(options.json_path)
+            << json::to_text(json::array(elements)) << "\n";
     return 0;
 }
 
--- a/tests/standins/load_report.cpp
+++ b/tests/standins/load_report.cpp
@@ -268,42 +268,39 @@
 
 std::string to_json(const run_report& report)
 {
-    return json::object(
-               {{"scenario", json::string(report.scenario)},
-                {"baseline", json::string(report.baseline)},
-                {"seed", json::number(report.seed)},
-                {"seconds", json::number(report.seconds)},
-                {"requests", json::number(report.requests)},
-                {"statements", json::number(report.statements)},
-                {"replica_read_share", json::number(report.replica_read_share)},
-                {"write_gap_ms", json::number(report.write_gap_ms)},
-                {"worst_customer_success",
-                 json::number(report.worst_customer_success)},
-                {"wrongful_refusals", json::number(report.wrongful_refusals)},
-                {"inside_rate_requests",
-                 json::number(report.inside_rate_requests)},
-                {"domain_success", report.domain_success
-                                       ? json::number(*report.domain_success)
-                                       : json::value{"null"}},
-                {"p50_ms", json::number(report.p50_ms)},
-                {"p99_ms", json::number(report.p99_ms)},
-                {"lost", json::number(report.found.lost)},
-                {"doubled", json::number(report.found.doubled)},
-                {"stale_session_reads",
-                 json::number(report.found.stale_session_reads)},
-                {"false_not_run", json::number(report.found.false_not_run)},
-                {"rate_excess", json::number(report.rate_excess)},
-                {"rate_excess_by", json::string("admission_interval")},
-                {"platform_calls_per_s",
-                 json::number(report.platform_calls_per_s)},
-                {"unclean_exits", json::number(report.unclean_exits)},
-                {"domain_delay", json::string("not simulated")},
-                {"outcomes", outcomes_to_json(report)},
-                {"failures", failures_to_json(report)},
-                {"customers", customers_to_json(report)},
-                {"events", json::strings(report.events)},
-                {"violations", json::strings(report.found.details)}})
-        .text;
+    return json::to_text(json::object(
+        {{"scenario", json::string(report.scenario)},
+         {"baseline", json::string(report.baseline)},
+         {"seed", json::number(report.seed)},
+         {"seconds", json::number(report.seconds)},
+         {"requests", json::number(report.requests)},
+         {"statements", json::number(report.statements)},
+         {"replica_read_share", json::number(report.replica_read_share)},
+         {"write_gap_ms", json::number(report.write_gap_ms)},
+         {"worst_customer_success",
+          json::number(report.worst_customer_success)},
+         {"wrongful_refusals", json::number(report.wrongful_refusals)},
+         {"inside_rate_requests", json::number(report.inside_rate_requests)},
+         {"domain_success", report.domain_success
+                                ? json::number(*report.domain_success)
+                                : json::value()},
+         {"p50_ms", json::number(report.p50_ms)},
+         {"p99_ms", json::number(report.p99_ms)},
+         {"lost", json::number(report.found.lost)},
+         {"doubled", json::number(report.found.doubled)},
+         {"stale_session_reads",
+          json::number(report.found.stale_session_reads)},
+         {"false_not_run", json::number(report.found.false_not_run)},
+         {"rate_excess", json::number(report.rate_excess)},
+         {"rate_excess_by", json::string("admission_interval")},
+         {"platform_calls_per_s", json::number(report.platform_calls_per_s)},
+         {"unclean_exits", json::number(report.unclean_exits)},
+         {"domain_delay", json::string("not simulated")},
+         {"outcomes", outcomes_to_json(report)},
+         {"failures", failures_to_json(report)},
+         {"customers", customers_to_json(report)},
+         {"events", json::strings(report.events)},
+         {"violations", json::strings(report.found.details)}}));
 }
 
 std::string to_table(const std::vector<run_report>& reports)
--- a/tests/unit/unit-operator.cpp
+++ b/tests/unit/unit-operator.cpp
@@ -487,8 +487,10 @@
 // Guards against output that JSON parsers refuse.
 TEST(operator_json, strings_are_escaped)
 {
-    EXPECT_EQ(json::string("a\"\\\n\x01").text, R"("a\"\\\n\u0001")");
-    EXPECT_EQ(json::string("\xC3\xA9\xFFx").text, "\"\xC3\xA9\xEF\xBF\xBDx\"");
+    EXPECT_EQ(json::to_text(json::string("a\"\\\n\x01")), R"("a\"\\\n\u0001")");
+    EXPECT_EQ(
+        json::to_text(json::string("\xC3\xA9\xFFx")),
+        "\"\xC3\xA9\xEF\xBF\xBDx\"");
 }
 
 // Guards against faults of the command line that are silently ignored.
