Log the inputs of a refusal by rate; serve latencies by outcome

Cause: a refusal by rate named only its outcome, so the level of the bucket, the pause of questions to other hosts and the share were unknown afterwards. The users' platform served no latency histograms. Change: rate_refused has the request's id and the inputs of the decision. Statements that a member runs count in the request series, by customer, consistency of the route and outcome. Latencies are kept by outcome: refusals take a few ms and made the distribution of successes look fast.

--- a/include/zinniahub/proxy_configuration.hpp
+++ b/include/zinniahub/proxy_configuration.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace zinniahub
@@ -23,6 +24,21 @@
     read_your_writes
 };
 
+/// @brief Name for logs and metrics, for example "bounded_staleness".
+constexpr std::string_view to_string(read_consistency consistency)
+{
+    switch (consistency)
+    {
+    case read_consistency::latest:
+        return "latest";
+    case read_consistency::bounded_staleness:
+        return "bounded_staleness";
+    case read_consistency::read_your_writes:
+        return "read_your_writes";
+    }
+    return "unknown";
+}
+
 /// @brief Rules for the statements to one database.
 struct route
 {
--- a/src/coordination/rate_keeper.cpp
+++ b/src/coordination/rate_keeper.cpp
@@ -191,7 +191,7 @@
     }
 }
 
-awaitable<bool> rate_keeper::admit(std::string customer)
+awaitable<bool> rate_keeper::admit(std::string customer, std::string request)
 {
     if (try_admit(customer))
     {
@@ -213,6 +213,7 @@
         if (now >= until || (!asks && refill > until - now))
         {
             ++state.counts.refused;
+            log_refusal(request, state, refill, now);
             co_return false;
         }
         if (asks &&
@@ -239,6 +240,29 @@
     }
 }
 
+void rate_keeper::log_refusal(
+    std::string_view request, customer_state& state, duration refill,
+    time_point now)
+{
+    const auto ms = [](duration value) { return to_seconds(value) * 1000; };
+    // A host without a share never refills.
+    const double refill_ms = refill == duration::max() ? -1 : ms(refill);
+    events_.write(
+        "rate_refused",
+        {{"id", request},
+         {"customer", state.counts.customer},
+         {"level", state.account.level(now)},
+         {"capacity", state.account.capacity()},
+         {"refill_ms", refill_ms},
+         {"pause_ms",
+          std::max(0.0, ms(std::max(state.exhausted_until, now) - now))},
+         {"waiting", state.waiters.size()},
+         {"peers", hosts_.peers().size()},
+         {"share", shares_.of(host_)},
+         {"shares_revision", revision_},
+         {"registered", hosts_.valid_until() > now}});
+}
+
 void rate_keeper::ask(const std::string& customer, customer_state& state)
 {
     const auto now = clock::now();
--- a/src/coordination/rate_keeper.hpp
+++ b/src/coordination/rate_keeper.hpp
@@ -42,7 +42,7 @@
     /// @brief This host's registration has changed.
     void on_lease();
 
-    awaitable<bool> admit(std::string customer) override;
+    awaitable<bool> admit(std::string customer, std::string request) override;
     bool try_admit(std::string_view customer) override;
     void put_back(std::string_view customer) override;
 
@@ -81,6 +81,9 @@
     };
 
     void ask(const std::string& customer, customer_state& state);
+    void log_refusal(
+        std::string_view request, customer_state& state, duration refill,
+        time_point now);
     /// Customer and number of tokens that a message names.
     struct token_message
     {
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -21,22 +21,61 @@
 
 } // namespace
 
-request_series::request_series()
-    : latency_(acc::tag::extended_p_square::probabilities = quantiles)
+latency_distribution::latency_distribution()
+    : statistics_(acc::tag::extended_p_square::probabilities = quantiles)
 {
 }
 
+void latency_distribution::record(double seconds)
+{
+    const auto bucket =
+        std::lower_bound(bucket_bounds.begin(), bucket_bounds.end(), seconds) -
+        bucket_bounds.begin();
+    ++buckets_[static_cast<std::size_t>(bucket)];
+    statistics_(seconds);
+}
+
+void latency_distribution::write(
+    std::string& out, std::string_view labels) const
+{
+    if (acc::count(statistics_) == 0)
+    {
+        return;
+    }
+    auto to = std::back_inserter(out);
+    std::uint64_t cumulative = 0;
+    for (std::size_t i = 0; i < bucket_bounds.size(); ++i)
+    {
+        cumulative += buckets_[i];
+        fmt::format_to(
+            to, "zinniahub_request_seconds_bucket{{{},le=\"{}\"}} {}\n", labels,
+            bucket_bounds[i], cumulative);
+    }
+    cumulative += buckets_.back();
+    fmt::format_to(
+        to,
+        "zinniahub_request_seconds_bucket{{{0},le=\"+Inf\"}} {1}\n"
+        "zinniahub_request_seconds_sum{{{0}}} {2:.6f}\n"
+        "zinniahub_request_seconds_count{{{0}}} {1}\n",
+        labels, cumulative, acc::sum(statistics_));
+    for (std::size_t i = 0; i < quantiles.size(); ++i)
+    {
+        fmt::format_to(
+            to,
+            "zinniahub_request_quantile_seconds{{{},quantile=\"{}\"}} {:.6f}\n",
+            labels, quantiles[i],
+            acc::extended_p_square(
+                statistics_)[static_cast<std::ptrdiff_t>(i)]);
+    }
+}
+
 void request_series::record(
     verdict outcome, errc code, bool from_replica, duration latency)
 {
-    const auto seconds = to_seconds(latency);
-    const auto bucket = static_cast<std::size_t>(
-        std::lower_bound(bucket_bounds.begin(), bucket_bounds.end(), seconds) -
-        bucket_bounds.begin());
+    const auto index = static_cast<std::size_t>(outcome);
     const std::lock_guard lock(mutex_);
-    latency_(seconds);
-    ++buckets_[bucket];
-    ++verdicts_[static_cast<std::size_t>(outcome)];
+    latencies_[index].record(to_seconds(latency));
+    ++verdicts_[index];
     if (outcome != verdict::done)
     {
         ++errors_[code];
@@ -66,33 +105,11 @@
     }
     fmt::format_to(
         to, "zinniahub_replica_reads_total{{{}}} {}\n", labels, replica_reads_);
-
-    std::uint64_t cumulative = 0;
-    for (std::size_t i = 0; i < bucket_bounds.size(); ++i)
-    {
-        cumulative += buckets_[i];
-        fmt::format_to(
-            to, "zinniahub_request_seconds_bucket{{{},le=\"{}\"}} {}\n", labels,
-            bucket_bounds[i], cumulative);
-    }
-    cumulative += buckets_.back();
-    fmt::format_to(
-        to,
-        "zinniahub_request_seconds_bucket{{{0},le=\"+Inf\"}} {1}\n"
-        "zinniahub_request_seconds_sum{{{0}}} {2:.6f}\n"
-        "zinniahub_request_seconds_count{{{0}}} {1}\n",
-        labels, cumulative, acc::sum(latency_));
-    if (acc::count(latency_) == 0)
-    {
-        return;
-    }
-    for (std::size_t i = 0; i < quantiles.size(); ++i)
+    for (const auto outcome :
+         {verdict::done, verdict::not_run, verdict::unknown})
     {
-        fmt::format_to(
-            to,
-            "zinniahub_request_quantile_seconds{{{},quantile=\"{}\"}} {:.6f}\n",
-            labels, quantiles[i],
-            acc::extended_p_square(latency_)[static_cast<std::ptrdiff_t>(i)]);
+        latencies_[static_cast<std::size_t>(outcome)].write(
+            out, fmt::format("{},verdict=\"{}\"", labels, to_string(outcome)));
     }
 }
 
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -26,29 +26,43 @@
 /// @brief A counter that only grows.
 using counter = std::atomic<std::uint64_t>;
 
-/// @brief Requests of one customer and statement class.
-class request_series
+/// @brief Latencies of requests that ended in the same way.
+class latency_distribution
 {
 public:
-    request_series();
+    latency_distribution();
 
-    void
-    record(verdict outcome, errc code, bool from_replica, duration latency);
+    void record(double seconds);
 
-    /// @brief Appends the series in text exposition format.
+    /// @brief Appends a histogram and quantiles; nothing without a request.
     void write(std::string& out, std::string_view labels) const;
 
 private:
-    using latency_statistics = boost::accumulators::accumulator_set<
+    using statistics = boost::accumulators::accumulator_set<
         double,
         boost::accumulators::stats<
             boost::accumulators::tag::count, boost::accumulators::tag::sum,
             boost::accumulators::tag::max,
             boost::accumulators::tag::extended_p_square>>;
 
-    mutable std::mutex mutex_;
-    latency_statistics latency_;
+    statistics statistics_;
     std::array<std::uint64_t, 14> buckets_{};
+};
+
+/// @brief Requests of one customer and statement class.
+class request_series
+{
+public:
+    void
+    record(verdict outcome, errc code, bool from_replica, duration latency);
+
+    /// @brief Appends the series in text exposition format.
+    void write(std::string& out, std::string_view labels) const;
+
+private:
+    mutable std::mutex mutex_;
+    /// By verdict.
+    std::array<latency_distribution, 3> latencies_;
     std::array<std::uint64_t, 3> verdicts_{};
     std::map<errc, std::uint64_t> errors_;
     std::uint64_t replica_reads_ = 0;
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -37,6 +37,21 @@
     return std::chrono::duration_cast<duration>(whole * part);
 }
 
+/// True for statements that a member runs; the others are answered here.
+bool runs_on_member(statement_kind kind)
+{
+    switch (kind)
+    {
+    case statement_kind::read:
+    case statement_kind::write:
+    case statement_kind::execute:
+    case statement_kind::commit:
+        return true;
+    default:
+        return false;
+    }
+}
+
 reply_code refusal_code(errc code)
 {
     switch (code)
@@ -225,7 +240,8 @@
     co_return answer;
 }
 
-awaitable<std::optional<reply>> client_session::refuse_operation()
+awaitable<std::optional<reply>>
+client_session::refuse_operation(const statement& value)
 {
     const auto& configuration = *front_.configuration();
     const auto found = configuration.routes.find(database_);
@@ -241,7 +257,7 @@
         trace_.why = errc::key_invalid;
         co_return refuse(reply_code::unauthorized, "unknown key");
     }
-    const bool admitted = co_await front_.rates().admit(customer_);
+    const bool admitted = co_await front_.rates().admit(customer_, value.id);
     if (!admitted)
     {
         trace_.why = errc::rate_exceeded;
@@ -268,7 +284,7 @@
 
 awaitable<reply> client_session::run_single(const statement& value)
 {
-    auto refusal = co_await refuse_operation();
+    auto refusal = co_await refuse_operation(value);
     if (refusal)
     {
         co_return std::move(*refusal);
@@ -294,7 +310,8 @@
         // Each attempt that a member runs counts towards the rate.
         if (std::exchange(trace_.may_have_run, false))
         {
-            const bool admitted = co_await front_.rates().admit(customer_);
+            const bool admitted =
+                co_await front_.rates().admit(customer_, value.id);
             if (!admitted)
             {
                 trace_.why = errc::rate_exceeded;
@@ -337,6 +354,7 @@
         co_return refuse_unsent(lease.error().code, "no member is available");
     }
     trace_.instance = lease->instance();
+    trace_.on_replica = !gateway.is_primary(trace_.instance);
     trace_.connected = clock::now();
     const auto* prepared = prepared_for(value);
     if (!co_await lease->restore(values_, prepared, command_timeout))
@@ -461,7 +479,7 @@
 awaitable<std::optional<reply>>
 client_session::open_transaction(const statement& value)
 {
-    auto refusal = co_await refuse_operation();
+    auto refusal = co_await refuse_operation(value);
     if (refusal)
     {
         co_return refusal;
@@ -679,6 +697,13 @@
     ++numbers.counter_of(
         "zinniahub_replies_total{code=\"" +
         std::string(to_string(answer.code)) + "\"}");
+    if (route_ && runs_on_member(value.kind))
+    {
+        numbers.series_of(customer_, to_string(route_->consistency))
+            .record(
+                verdict_of(answer.code), trace_.why, trace_.on_replica,
+                latency);
+    }
     const bool late = route_ && latency > route_->target_latency;
     const bool usual =
         answer.ok() && !late && trace_.attempts <= logged_attempts;
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -48,6 +48,7 @@
         std::string instance;
         /// When the last attempt had its connection.
         time_point connected{};
+        bool on_replica = false;
         /// An attempt without an answer may have run.
         bool may_have_run = false;
         /// Answer of the member to the last attempt.
@@ -66,7 +67,7 @@
     awaitable<reply> run_data_statement(const statement& value);
 
     /// Checks the configuration in force, the key and the rate.
-    awaitable<std::optional<reply>> refuse_operation();
+    awaitable<std::optional<reply>> refuse_operation(const statement& value);
     awaitable<reply> run_single(const statement& value);
     bool may_use_replica() const;
     /// Adds the session's own commits to a position, where the route needs it.
--- a/src/pooling/front.hpp
+++ b/src/pooling/front.hpp
@@ -42,7 +42,9 @@
     /// @brief Takes the right to run one operation, if this host has one.
     virtual bool try_admit(std::string_view customer) = 0;
     /// @brief As `try_admit`, but asks other hosts first, for some ms.
-    virtual awaitable<bool> admit(std::string customer) = 0;
+    /// @param request id of the request, for the log line of a refusal
+    virtual awaitable<bool>
+    admit(std::string customer, std::string request) = 0;
     /// @brief Gives a right back whose operation has not been sent to a member.
     virtual void put_back(std::string_view customer) = 0;
 };
--- a/src/pooling/messages.cpp
+++ b/src/pooling/messages.cpp
@@ -41,4 +41,19 @@
     return "unknown";
 }
 
+verdict verdict_of(reply_code code)
+{
+    switch (code)
+    {
+    case reply_code::none:
+        return verdict::done;
+    case reply_code::failed:
+    case reply_code::timeout:
+    case reply_code::in_doubt:
+        return verdict::unknown;
+    default:
+        return verdict::not_run;
+    }
+}
+
 } // namespace zinniahub::pooling
--- a/src/pooling/messages.hpp
+++ b/src/pooling/messages.hpp
@@ -2,6 +2,7 @@
 
 #include <zinniahub/failover_planner.hpp>
 #include <zinniahub/log_position.hpp>
+#include <zinniahub/outcome.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -110,6 +111,9 @@
 /// @brief Name of a code for logs and metrics, for example "in_doubt".
 std::string_view to_string(reply_code code);
 
+/// @brief What a client knows about the effect of a request after a code.
+verdict verdict_of(reply_code code);
+
 /// @brief Complete reply of a member to a statement or command.
 struct reply
 {
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <tuple>
 
 namespace zinniahub::pooling
 {
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -103,6 +103,11 @@
     std::optional<std::pair<log_position, duration>>
     newest_position(time_point now) const;
 
+    /// @brief True for the member that was last proved to be the primary.
+    bool is_primary(std::string_view instance) const
+    {
+        return instance == primary_.instance;
+    }
     /// @brief Records that a member was the primary at `sent_at` or later.
     void on_primary_proved(
         std::string_view instance, time_point sent_at,
--- a/tests/integration/integration-platform_faults.cpp
+++ b/tests/integration/integration-platform_faults.cpp
@@ -208,4 +208,17 @@
     // (20 * 5 + 20) * 1.1 + 20, and no less than the rate itself.
     EXPECT_LE(served, 152);
     EXPECT_GE(served, 100);
+    // Guards against a refusal whose inputs cannot be found afterwards.
+    const auto log = proxy_->log();
+    const auto refusal = log.find(R"("event":"rate_refused","id":)");
+    ASSERT_NE(refusal, std::string::npos);
+    const auto line = log.substr(refusal, log.find('\n', refusal) - refusal);
+    for (const auto* input :
+         {"customer", "level", "capacity", "refill_ms", "pause_ms", "peers",
+          "share", "shares_revision", "registered"})
+    {
+        EXPECT_NE(
+            line.find("\"" + std::string(input) + "\":"), std::string::npos)
+            << input << " " << line;
+    }
 }
