--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -32,8 +32,6 @@
     std::string instance;
     /// It may not become or stay the primary.
     bool leaving = false;
-    /// Its registration is missing.
-    bool missing = false;
     /// Its registration says that it is the primary.
     bool registered_primary = false;
     /// It announced its end, and its registration is missing since. It may have
--- a/src/control/owner_planner.hpp
+++ b/src/control/owner_planner.hpp
@@ -120,7 +120,7 @@
     static constexpr std::chrono::milliseconds settle_interval{1200};
     /// A shard that came back to this host is not given up again within this
     /// time. The better host may be unable to claim it, e.g. while it is cut
-    /// off from the platform, and every move costs the pool about a second.
+    /// off from the platform, and requests wait for tokens during each move.
     static constexpr std::chrono::milliseconds move_interval{60'000};
     /// A host whose lease lapsed gets no shards for this time, the longest time
     /// that a dead host stays in the list of live hosts.
--- a/src/coordination/promotion_duty.cpp
+++ b/src/coordination/promotion_duty.cpp
@@ -228,9 +228,11 @@
             !directory_.was_replaced(member))
         {
             members.push_back(
-                {instance, member.leaving, member.missing_since != never,
-                 member.record.primary,
-                 member.record.draining && member.missing_since != never});
+                {.instance = instance,
+                 .leaving = member.leaving,
+                 .registered_primary = member.record.primary,
+                 .ending =
+                     member.record.draining && member.missing_since != never});
         }
     }
     service.planner.on_members(members, definition.sync_replicas);
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -48,7 +48,7 @@
         for (const auto& [name, state] : members_)
         {
             known.push_back(
-                {name, leaving_.contains(name), ending_.contains(name),
+                {name, leaving_.contains(name),
                  registered_primaries_.contains(name), ending_.contains(name)});
         }
         planner_.on_members(known, 1);
