Give each cause of a failed reply its own budget of log lines

Ruled out: a larger budget, which a client with a wrong key fills as well. Change: replies have a budget for each `why`; log_dropped names it. Test: bounds_each_cause_of_an_event_on_its_own.

--- a/src/observability/event_log.cpp
+++ b/src/observability/event_log.cpp
@@ -55,12 +55,12 @@
     }
 }
 
-bool event_log::take(std::string_view kind, time_point now)
+bool event_log::take(std::string_view budget_name, time_point now)
 {
-    auto found = budgets_.find(kind);
+    auto found = budgets_.find(budget_name);
     if (found == budgets_.end())
     {
-        found = budgets_.emplace(kind, budget{}).first;
+        found = budgets_.emplace(budget_name, budget{}).first;
         found->second = {static_cast<double>(settings_.burst), now, 0};
     }
     auto& lines = found->second;
@@ -77,7 +77,7 @@
     lines.lines -= 1;
     if (lines.dropped > 0)
     {
-        report_dropped(kind, lines);
+        report_dropped(budget_name, lines);
     }
     return true;
 }
@@ -112,7 +112,17 @@
 void event_log::write(
     std::string_view kind, std::initializer_list<field> fields)
 {
-    if (take(kind, clock::now()))
+    write(kind, {}, fields);
+}
+
+void event_log::write(
+    std::string_view kind, std::string_view cause,
+    std::initializer_list<field> fields)
+{
+    const bool taken =
+        cause.empty() ? take(kind, clock::now())
+                      : take(fmt::format("{}/{}", kind, cause), clock::now());
+    if (taken)
     {
         append_line(kind, fields);
     }
--- a/src/observability/event_log.hpp
+++ b/src/observability/event_log.hpp
@@ -58,7 +58,8 @@
 /// @brief Writes events as JSON lines to a descriptor that never blocks the
 /// caller.
 ///
-/// Each kind of event has a budget of lines per second. Lines beyond the
+/// Each kind of event, and each cause within a kind, has a budget of lines per
+/// second, so that a frequent cause does not hide a rare one. Lines beyond the
 /// budget, and lines that the descriptor does not take at once, are counted
 /// and reported by a line "log_dropped" when there is room again.
 class event_log
@@ -81,6 +82,12 @@
     /// @param kind literal that names the event, for example "store_lost"
     void write(std::string_view kind, std::initializer_list<field> fields);
 
+    /// @brief As above, with the budget of one cause of the event.
+    /// @param cause name out of a small set, for example an error's name
+    void write(
+        std::string_view kind, std::string_view cause,
+        std::initializer_list<field> fields);
+
     /// @brief Lines left out since the start.
     std::uint64_t dropped() const
     {
@@ -95,7 +102,7 @@
         std::uint64_t dropped = 0;
     };
 
-    bool take(std::string_view kind, time_point now);
+    bool take(std::string_view budget_name, time_point now);
     void report_dropped(std::string_view kind, budget& lines);
     void
     append_line(std::string_view kind, std::initializer_list<field> fields);
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -715,16 +715,18 @@
     const auto waited = trace_.connected == time_point{}
                             ? latency
                             : trace_.connected - trace_.started;
+    const std::string_view why = answer.ok() ? "" : to_string(trace_.why);
     front_.events().write(
         answer.ok() ? (late    ? "reply_late"
                        : usual ? "reply_sampled"
                                : "reply_retried")
                     : "reply_failed",
+        why,
         {{"id", value.id},
          {"database", database_},
          {"customer", customer_},
          {"code", to_string(answer.code)},
-         {"why", answer.ok() ? "" : to_string(trace_.why)},
+         {"why", why},
          {"instance", trace_.instance},
          {"member_code", to_string(trace_.member_code)},
          {"attempts", trace_.attempts},
--- a/tests/unit/unit-event_log.cpp
+++ b/tests/unit/unit-event_log.cpp
@@ -98,6 +98,21 @@
     EXPECT_EQ(events.dropped(), 45U);
 }
 
+// Guards against frequent refusals of one cause that hide a rare failure.
+TEST_F(event_pipe, bounds_each_cause_of_an_event_on_its_own)
+{
+    event_log events(settings(5));
+    for (int i = 0; i < 50; ++i)
+    {
+        events.write("reply_failed", "key_invalid", {{"number", i}});
+    }
+    events.write("reply_failed", "reply_timeout", {{"id", "rare"}});
+    const auto lines = read_lines();
+    ASSERT_EQ(lines.size(), 6U);
+    EXPECT_EQ(lines.back()["event"], "reply_failed");
+    EXPECT_EQ(lines.back()["id"], "rare");
+}
+
 // Guards against a reader that stops and thereby stops the proxy or makes it
 // grow; and against lines that are missing without a word.
 TEST_F(event_pipe, reader_that_stops_does_not_block_the_writer)
