--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -35,10 +35,15 @@
     statistics_(seconds);
 }
 
+std::uint64_t latency_distribution::count() const
+{
+    return acc::count(statistics_);
+}
+
 void latency_distribution::write(
     std::string& out, std::string_view labels) const
 {
-    if (acc::count(statistics_) == 0)
+    if (count() == 0)
     {
         return;
     }
@@ -75,7 +80,6 @@
     const auto index = static_cast<std::size_t>(outcome);
     const std::lock_guard lock(mutex_);
     latencies_[index].record(to_seconds(latency));
-    ++verdicts_[index];
     if (outcome != verdict::done)
     {
         ++errors_[code];
@@ -95,7 +99,8 @@
     {
         fmt::format_to(
             to, "zinniahub_requests_total{{{},verdict=\"{}\"}} {}\n", labels,
-            to_string(outcome), verdicts_[static_cast<std::size_t>(outcome)]);
+            to_string(outcome),
+            latencies_[static_cast<std::size_t>(outcome)].count());
     }
     for (const auto& [code, count] : errors_)
     {
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -34,6 +34,9 @@
 
     void record(double seconds);
 
+    /// @brief Number of requests.
+    std::uint64_t count() const;
+
     /// @brief Appends a histogram and quantiles; appends nothing if there was
     /// no request.
     void write(std::string& out, std::string_view labels) const;
@@ -64,7 +67,6 @@
     mutable std::mutex mutex_;
     /// Indexed by verdict.
     std::array<latency_distribution, 3> latencies_;
-    std::array<std::uint64_t, 3> verdicts_{};
     std::map<errc, std::uint64_t> errors_;
     std::uint64_t replica_reads_ = 0;
 };
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -25,33 +25,11 @@
 /// Attempts of one statement at different members.
 constexpr unsigned max_attempts = 4;
 
-/// Successes that were late or took more attempts than this are all logged;
-/// the others are sampled.
-constexpr unsigned logged_attempts = 2;
-
-/// One in this many ordinary successes is logged.
-constexpr std::uint64_t success_sample_interval = 64;
-
 duration fraction_of(duration whole, double part)
 {
     return std::chrono::duration_cast<duration>(whole * part);
 }
 
-/// True for statements that a member runs; the others are answered here.
-bool runs_on_member(statement_kind kind)
-{
-    switch (kind)
-    {
-    case statement_kind::read:
-    case statement_kind::write:
-    case statement_kind::execute:
-    case statement_kind::commit:
-        return true;
-    default:
-        return false;
-    }
-}
-
 reply_code refusal_code(errc code)
 {
     switch (code)
@@ -701,51 +679,11 @@
 
 void client_session::record_reply(const statement& value, const reply& answer)
 {
-    const auto now = clock::now();
-    const auto latency = now - trace_.started;
-    auto& metrics = manager_.metrics_registry();
-    ++metrics.counter_of(
-        "zinniahub_replies_total{code=\"" +
-        std::string(to_string(answer.code)) + "\"}");
-    if (route_ && runs_on_member(value.kind))
-    {
-        metrics.series_of(customer_, to_string(route_->consistency))
-            .record(
-                verdict_of(answer.code), trace_.failure_code, trace_.on_replica,
-                latency);
-    }
-    const bool late = route_ && latency > route_->target_latency;
-    const bool usual =
-        answer.ok() && !late && trace_.attempts <= logged_attempts;
-    if (usual &&
-        (trace_.attempts == 0 || ++successes_ % success_sample_interval != 0))
-    {
-        return;
-    }
     const auto& configuration = manager_.configuration();
-    const auto waited = trace_.connected == time_point{}
-                            ? latency
-                            : trace_.connected - trace_.started;
-    const std::string_view failure_code =
-        answer.ok() ? "" : to_string(trace_.failure_code);
-    manager_.events().write(
-        answer.ok() ? (late    ? "reply_late"
-                       : usual ? "reply_sampled"
-                               : "reply_retried")
-                    : "reply_failed",
-        failure_code,
-        {{"id", value.id},
-         {"database", database_},
-         {"customer", customer_},
-         {"code", to_string(answer.code)},
-         {"why", failure_code},
-         {"instance", trace_.instance},
-         {"member_code", to_string(trace_.member_code)},
-         {"attempts", trace_.attempts},
-         {"waited_ms", to_seconds(waited) * 1000},
-         {"took_ms", to_seconds(latency) * 1000},
-         {"configuration", configuration ? configuration->version : 0},
-         {"text", answer.text}});
+    manager_.replies().record(
+        value, answer, trace_,
+        {database_, customer_, route_,
+         configuration ? configuration->version : 0});
 }
 
 } // namespace zinniahub::pooling
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pooling/ports.hpp"
+#include "pooling/reply_recorder.hpp"
 #include "pooling/session_manager.hpp"
 
 #include <zinniahub/session_values.hpp>
@@ -41,22 +42,6 @@
     }
 
 private:
-    /// Details of one operation, for its log line.
-    struct trace
-    {
-        time_point started;
-        std::string instance;
-        /// When the last attempt obtained its connection.
-        time_point connected{};
-        bool on_replica = false;
-        /// An attempt without an answer may have run.
-        bool may_have_run = false;
-        /// Answer of the member to the last attempt.
-        reply_code member_code = reply_code::none;
-        unsigned attempts = 0;
-        errc failure_code = errc::request_invalid;
-    };
-
     awaitable<bool> serve_next();
     awaitable<reply> handle(const statement& value);
     reply set_session_value(const statement& value);
@@ -109,9 +94,7 @@
     std::optional<route> route_;
     /// Latest position of the session's commits.
     log_position committed_position_;
-    trace trace_;
-    /// Successes of all sessions, to choose those that are logged.
-    static inline std::uint64_t successes_ = 0;
+    operation_trace trace_;
 };
 
 } // namespace zinniahub::pooling
--- a/src/pooling/session_manager.cpp
+++ b/src/pooling/session_manager.cpp
@@ -23,7 +23,7 @@
     , admission_(admission_control)
     , positions_(positions)
     , events_(events)
-    , metrics_(metrics_registry)
+    , replies_(events, metrics_registry)
 {
 }
 
--- a/src/pooling/session_manager.hpp
+++ b/src/pooling/session_manager.hpp
@@ -3,6 +3,7 @@
 #include "observability/event_log.hpp"
 #include "observability/metrics.hpp"
 #include "pooling/ports.hpp"
+#include "pooling/reply_recorder.hpp"
 #include "pooling/service_gateway.hpp"
 
 #include <zinniahub/proxy_configuration.hpp>
@@ -120,9 +121,9 @@
     {
         return events_;
     }
-    metrics::registry& metrics_registry()
+    reply_recorder& replies()
     {
-        return metrics_;
+        return replies_;
     }
     bool is_closing() const
     {
@@ -143,7 +144,7 @@
     admission& admission_;
     position_exchange& positions_;
     log::event_log& events_;
-    metrics::registry& metrics_;
+    reply_recorder replies_;
     configuration_ptr configuration_;
     std::size_t host_count_ = 1;
     std::map<std::string, std::unique_ptr<service_gateway>, std::less<>>
--- a/tests/standins/load_schedule.cpp
+++ b/tests/standins/load_schedule.cpp
@@ -37,30 +37,30 @@
 
 void arrival_schedule::advance(std::size_t customer)
 {
-    auto& stream = streams_[customer];
+    auto& arrivals = streams_[customer];
     double load = environment_.customers[customer].load;
     for (const auto& wave : floods_)
-        if (wave.customer == customer && stream.next_at >= wave.begin &&
-            stream.next_at < wave.end)
+        if (wave.customer == customer && arrivals.next_at >= wave.begin &&
+            arrivals.next_at < wave.end)
             // The flood is ten times the customer's rate, not its usual load.
             load = environment_.customers[customer].rate * flood_factor;
-    stream.next_at += from_seconds(
-        std::exponential_distribution<double>(load)(stream.random));
+    arrivals.next_at += from_seconds(
+        std::exponential_distribution<double>(load)(arrivals.random));
 }
 
 bool arrival_schedule::take_tokens(
     std::size_t customer, const statement_class& kind)
 {
-    auto& stream = streams_[customer];
+    auto& arrivals = streams_[customer];
     const auto& plan = environment_.customers[customer];
     const auto elapsed =
-        std::chrono::duration<double>(stream.next_at - stream.filled_at);
-    stream.tokens =
-        std::min(plan.burst, stream.tokens + elapsed.count() * plan.rate);
-    stream.filled_at = stream.next_at;
-    if (stream.tokens < kind.tokens())
+        std::chrono::duration<double>(arrivals.next_at - arrivals.filled_at);
+    arrivals.tokens =
+        std::min(plan.burst, arrivals.tokens + elapsed.count() * plan.rate);
+    arrivals.filled_at = arrivals.next_at;
+    if (arrivals.tokens < kind.tokens())
         return false;
-    stream.tokens -= kind.tokens();
+    arrivals.tokens -= kind.tokens();
     return true;
 }
 
