Make the platform's stand-ins wait, promote late and replace members

A commit is acknowledged once a replica has received it; before, the primary's reply came at once, so that a test could not see a commit that waits. A promotion may take time after its reply, or be carried out late and without a reply if its fencing token still holds then. A member that ends for good leaves its log to a successor at its address. The settings file of a proxy may change, and a process may get SIGHUP.

--- a/tests/support/hosted_member.cpp
+++ b/tests/support/hosted_member.cpp
@@ -8,7 +8,9 @@
 
 #include <algorithm>
 #include <sstream>
+#include <sys/socket.h>
 #include <thread>
+#include <utility>
 
 namespace zinniahub::test
 {
@@ -53,11 +55,37 @@
         if (name != primary && member.running && member.paused_term == 0 &&
             !member.deaf && source.running)
         {
-            member.rows = source.rows;
+            const bool is_prefix =
+                member.rows.size() <= source.rows.size() &&
+                (member.rows.empty() ||
+                 member.rows.back().position ==
+                     source.rows[member.rows.size() - 1].position);
+            if (!is_prefix)
+            {
+                member.rows.clear();
+            }
+            member.rows.insert(
+                member.rows.end(),
+                source.rows.begin() +
+                    static_cast<std::ptrdiff_t>(member.rows.size()),
+                source.rows.end());
             member.received = source.received;
             member.term = source.term;
         }
     }
+    changed.notify_all();
+}
+
+bool replicated_log::is_received_locked(
+    const std::string& instance, log_position position) const
+{
+    return std::any_of(
+        members.begin(), members.end(),
+        [&](const auto& entry)
+        {
+            return entry.first != instance && entry.second.running &&
+                   entry.second.received >= position;
+        });
 }
 
 std::string replicated_log::primary_locked() const
@@ -74,12 +102,12 @@
 
 hosted_member::hosted_member(
     std::string service, std::string instance, unsigned max_connections,
-    std::shared_ptr<replicated_log> log)
+    std::shared_ptr<replicated_log> log, unsigned short port)
     : service_(std::move(service))
     , instance_(std::move(instance))
     , max_connections_(max_connections)
     , shared_(std::move(log))
-    , server_([this](hosted_server::socket& peer) { serve(peer); })
+    , server_([this](hosted_server::socket& peer) { serve(peer); }, port)
 {
     const std::lock_guard lock(shared_->mutex);
     shared_->members[instance_];
@@ -152,6 +180,55 @@
     return "COMPLETE -\r\n" + ready(session);
 }
 
+/// Appends the rows of a commit to the log.
+void hosted_member::append(connection& session)
+{
+    auto& log = log_locked();
+    for (auto& row : session.pending)
+    {
+        log.received = {log.term, log.received.index + 1};
+        row.position = log.received;
+        log.rows.push_back(row);
+        session.committed = log.received;
+        session.committed_term = log.term;
+        session.committed_data.push_back(row.data);
+    }
+    session.pending.clear();
+}
+
+/// Waits until a replica has received the commit of a session.
+/// @return false if the member ended, lost the lead, or the caller left
+bool hosted_member::await_replica(
+    connection& session, hosted_server::socket& peer)
+{
+    const auto position = *session.committed;
+    session.committed.reset();
+    const auto data = std::exchange(session.committed_data, {});
+    std::unique_lock lock(shared_->mutex);
+    while (true)
+    {
+        const auto& log = log_locked();
+        if (!log.running || !server_.is_running() || !log.primary ||
+            log.term != session.committed_term)
+        {
+            return false;
+        }
+        if (shared_->is_received_locked(instance_, position))
+        {
+            auto& acknowledged = shared_->acknowledged;
+            acknowledged.insert(acknowledged.end(), data.begin(), data.end());
+            return true;
+        }
+        char byte = 0;
+        if (::recv(peer.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) ==
+            0)
+        {
+            return false;
+        }
+        shared_->changed.wait_for(lock, std::chrono::milliseconds(20));
+    }
+}
+
 std::string hosted_member::commit(connection& session, const std::string& id)
 {
     if (session.state != 'T')
@@ -165,12 +242,7 @@
         session.pending.clear();
         return fmt::format("ERROR READONLY {}\r\n", instance_) + ready(session);
     }
-    for (auto& row : session.pending)
-    {
-        log.received = {log.term, log.received.index + 1};
-        row.position = log.received;
-        log.rows.push_back(row);
-    }
+    append(session);
     shared_->runs.push_back(
         {id,
          "COMMIT",
@@ -183,7 +255,6 @@
          true,
          log.received});
     shared_->replicate_locked();
-    session.pending.clear();
     session.state = 'I';
     return fmt::format("COMPLETE sig-{}\r\n", id) + ready(session);
 }
@@ -217,10 +288,7 @@
         session.pending.push_back({item, value, {}});
         if (session.state == 'I')
         {
-            log.received = {log.term, log.received.index + 1};
-            session.pending.back().position = log.received;
-            log.rows.push_back(session.pending.back());
-            session.pending.clear();
+            append(session);
             run.committed = true;
             run.position = log.received;
             shared_->replicate_locked();
@@ -376,9 +444,15 @@
         const bool system = line.starts_with("QUERY - ");
         if (greeted && lose_answers_ && !system)
         {
+            session.committed.reset();
+            session.committed_data.clear();
             continue;
         }
         greeted = true;
+        if (session.committed && !await_replica(session, peer))
+        {
+            break;
+        }
         asio::write(peer, asio::buffer(bytes), failure);
         if (failure || bytes.starts_with("ERROR MISROUTED") ||
             bytes.starts_with("ERROR TOOMANY"))
--- a/tests/support/hosted_member.hpp
+++ b/tests/support/hosted_member.hpp
@@ -6,6 +6,8 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -38,6 +40,7 @@
     bool as_primary = false;
     bool committed = false;
     log_position position;
+    std::chrono::steady_clock::time_point at = std::chrono::steady_clock::now();
 };
 
 /// @brief State shared by the members of a service: roles, logs and the
@@ -57,21 +60,29 @@
     };
 
     std::mutex mutex;
+    /// Notified when a replica may have received entries.
+    std::condition_variable changed;
     std::map<std::string, member_log> members;
     std::vector<hosted_run> runs;
+    /// Data of the rows whose commit a replica has received.
+    std::vector<std::string> acknowledged;
 
     /// @brief Copies the primary's log to the replicas that receive.
     void replicate_locked();
     std::string primary_locked() const;
+    /// @brief Whether a replica other than `instance` has received `position`.
+    bool is_received_locked(
+        const std::string& instance, log_position position) const;
 };
 
 /// @brief Stand-in for a member that speaks the line protocol.
 class hosted_member
 {
 public:
+    /// @param port 0 for any
     hosted_member(
         std::string service, std::string instance, unsigned max_connections,
-        std::shared_ptr<replicated_log> log);
+        std::shared_ptr<replicated_log> log, unsigned short port = 0);
 
     const std::string& instance() const
     {
@@ -117,6 +128,10 @@
         bool read_only = false;
         std::vector<hosted_row> pending;
         bool plain_transaction = false;
+        /// Commit whose acknowledgement waits for a replica.
+        std::optional<log_position> committed;
+        std::uint64_t committed_term = 0;
+        std::vector<std::string> committed_data;
     };
 
     void serve(hosted_server::socket& peer);
@@ -128,6 +143,8 @@
         const std::string& shape);
     std::string begin(connection& session, bool read_only);
     std::string commit(connection& session, const std::string& id);
+    void append(connection& session);
+    bool await_replica(connection& session, hosted_server::socket& peer);
     std::string control(const std::string& word, std::uint64_t term);
     std::string ready(const connection& session);
     std::string refuse(connection& session, const std::string& code);
--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -50,20 +50,30 @@
     }
     store_.on_promotion([this](const hosted_store::promotion& order)
                         { return promote(order.instance); });
+    store_.on_order(
+        [this](const hosted_store::promotion& order)
+        {
+            const std::lock_guard lock(log_->mutex);
+            const auto found = log_->members.find(order.instance);
+            return found != log_->members.end() && found->second.running;
+        });
 }
 
 void hosted_platform::configure(
     unsigned version, const std::map<std::string, std::string>& keys,
-    double rate_per_s)
+    double rate_per_s, const std::map<std::string, double>& other_rates)
 {
     json tenants = json::array();
     for (const auto& [customer, key] : keys)
     {
+        const auto other = other_rates.find(customer);
+        const double rate =
+            other == other_rates.end() ? rate_per_s : other->second;
         tenants.push_back(
             {{"name", customer},
              {"api_keys", {key}},
-             {"rate_per_s", rate_per_s},
-             {"burst", rate_per_s}});
+             {"rate_per_s", rate},
+             {"burst", rate}});
     }
     const auto& service = settings_.service;
     const json value{
@@ -81,7 +91,8 @@
     store_.put("op/config", value.dump());
 }
 
-void hosted_platform::register_member(std::size_t index, bool draining)
+void hosted_platform::register_member(
+    std::size_t index, bool draining, std::int64_t born)
 {
     const auto& instance = members_[index]->instance();
     bool primary = false;
@@ -99,7 +110,7 @@
         {"warmup_remaining_ms", 0},
         {"db_role", primary ? "primary" : "replica"},
         {"sequence", ++sequence_},
-        {"born", 1000}};
+        {"born", born}};
     store_.put("servers/" + instance, value.dump());
 }
 
@@ -136,10 +147,41 @@
     }
     found->second.primary = true;
     found->second.term = term + 1;
+    if (promoted_)
+    {
+        promoted_(instance, *log_);
+    }
     log_->replicate_locked();
     return true;
 }
 
+void hosted_platform::retire(std::size_t index)
+{
+    members_[index]->crash();
+    remove_member(index);
+}
+
+std::size_t hosted_platform::start_successor(std::size_t index)
+{
+    const auto address = members_[index]->address();
+    const auto port = std::stoul(address.substr(address.rfind(':') + 1));
+    const auto old = members_[index]->instance();
+    const auto instance = "i-" + std::to_string(members_.size());
+    {
+        const std::lock_guard lock(log_->mutex);
+        auto copy = log_->members[old];
+        copy.primary = false;
+        copy.paused_term = 0;
+        copy.running = true;
+        copy.deaf = false;
+        log_->members[instance] = std::move(copy);
+    }
+    members_.push_back(std::make_unique<hosted_member>(
+        settings_.service, instance, settings_.max_connections, log_,
+        static_cast<unsigned short>(port)));
+    return members_.size() - 1;
+}
+
 std::size_t hosted_platform::runs_of(const std::string& id) const
 {
     const std::lock_guard lock(log_->mutex);
--- a/tests/support/hosted_platform.hpp
+++ b/tests/support/hosted_platform.hpp
@@ -3,6 +3,8 @@
 #include "support/hosted_member.hpp"
 #include "support/hosted_store.hpp"
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -49,12 +51,16 @@
 
     /// @brief Writes a configuration with one route of each kind: databases
     /// "latest", "bounded" and "session".
+    /// @param other_rates customers whose rate is not `rate_per_s`
     void configure(
         unsigned version, const std::map<std::string, std::string>& keys,
-        double rate_per_s = 1000);
+        double rate_per_s = 1000,
+        const std::map<std::string, double>& other_rates = {});
 
     /// @brief Registers a member as it is now.
-    void register_member(std::size_t index, bool draining = false);
+    /// @param born Unix time of its start in ms
+    void register_member(
+        std::size_t index, bool draining = false, std::int64_t born = 1000);
     void remove_member(std::size_t index);
 
     /// @brief Whether a replica receives the primary's log.
@@ -64,6 +70,25 @@
     /// @return false if the member is not running
     bool promote(const std::string& instance);
 
+    /// @brief Ends a member for good; its log goes to a successor.
+    void retire(std::size_t index);
+    /// @brief Starts a member at the address and with the log of one that
+    /// was retired.
+    /// @return its index
+    std::size_t start_successor(std::size_t index);
+
+    /// @brief Called for each promotion with the log of the new primary, with
+    /// the lock of the log held.
+    void on_promoted(
+        std::function<void(const std::string&, const replicated_log&)> handler)
+    {
+        promoted_ = std::move(handler);
+    }
+    replicated_log& log()
+    {
+        return *log_;
+    }
+
     /// @brief How often members ran the statement with an id.
     std::size_t runs_of(const std::string& id) const;
     /// @brief Statements that a member ran.
@@ -75,6 +100,7 @@
 private:
     settings settings_;
     std::shared_ptr<replicated_log> log_;
+    std::function<void(const std::string&, const replicated_log&)> promoted_;
     hosted_store store_;
     std::vector<std::unique_ptr<hosted_member>> members_;
     unsigned sequence_ = 0;
--- a/tests/support/hosted_proxy.cpp
+++ b/tests/support/hosted_proxy.cpp
@@ -134,8 +134,15 @@
     std::filesystem::create_directories(folder);
     settings_path_ = folder / "boot.toml";
     log_path_ = folder / "log";
-    const auto store = const_cast<hosted_platform&>(platform).store().address();
-    std::ofstream(settings_path_) << fmt::format(
+    store_ = const_cast<hosted_platform&>(platform).store().address();
+    write_settings(5000);
+    restart();
+}
+
+void hosted_proxy::write_settings(unsigned evacuation_ms)
+{
+    const auto written = settings_path_ + ".new";
+    std::ofstream(written) << fmt::format(
         R"(node_name = "{}"
 zone = "zone-0"
 ip_address = "127.0.0.1"
@@ -146,7 +153,7 @@
 [bounds]
 drain_timeout_ms = 7000
 grace_period_s = 6
-evacuation_ms = 5000
+evacuation_ms = {}
 config_apply_ms = 3000
 quota_overage = 0.1
 quota_tolerance = 20
@@ -156,8 +163,8 @@
 address = "{}"
 assigned_tasks = ["promotion"]
 )",
-        name_, address_, ready_, store, store);
-    restart();
+        name_, address_, ready_, evacuation_ms, store_, store_);
+    std::filesystem::rename(written, settings_path_);
 }
 
 void hosted_proxy::restart()
--- a/tests/support/hosted_proxy.hpp
+++ b/tests/support/hosted_proxy.hpp
@@ -85,11 +85,14 @@
 
     /// @brief Starts the process again under the same name and addresses.
     void restart();
+    /// @brief Writes the settings file with another bound for evacuations.
+    void write_settings(unsigned evacuation_ms);
 
 private:
     std::string name_;
     std::string address_;
     std::string ready_;
+    std::string store_;
     std::string settings_path_;
     std::string log_path_;
     process child_;
--- a/tests/support/hosted_server.cpp
+++ b/tests/support/hosted_server.cpp
@@ -8,8 +8,10 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-hosted_server::hosted_server(std::function<void(socket&)> serve)
+hosted_server::hosted_server(
+    std::function<void(socket&)> serve, unsigned short port)
     : serve_(std::move(serve))
+    , port_(port)
 {
     start();
 }
--- a/tests/support/hosted_server.hpp
+++ b/tests/support/hosted_server.hpp
@@ -21,7 +21,9 @@
     using socket = boost::asio::ip::tcp::socket;
 
     /// @param serve handles one connection and returns when it ended
-    explicit hosted_server(std::function<void(socket&)> serve);
+    /// @param port 0 for any
+    explicit hosted_server(
+        std::function<void(socket&)> serve, unsigned short port = 0);
     ~hosted_server();
     hosted_server(const hosted_server&) = delete;
     hosted_server& operator=(const hosted_server&) = delete;
--- a/tests/support/hosted_store.cpp
+++ b/tests/support/hosted_store.cpp
@@ -61,10 +61,87 @@
 } // namespace
 
 hosted_store::hosted_store()
-    : server_([this](hosted_server::socket& peer) { serve(peer); })
+    : worker_([this] { carry_out_orders(); })
+    , server_([this](hosted_server::socket& peer) { serve(peer); })
 {
 }
 
+hosted_store::~hosted_store()
+{
+    ended_ = true;
+    worker_.join();
+}
+
+void hosted_store::on_order(std::function<bool(const promotion&)> handler)
+{
+    const std::lock_guard lock(mutex_);
+    accept_ = std::move(handler);
+}
+
+void hosted_store::carry_out_orders()
+{
+    while (!ended_)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            const auto now = steady_clock::now();
+            for (std::size_t index = 0; index < orders_.size();)
+            {
+                if (orders_[index].due > now)
+                {
+                    ++index;
+                    continue;
+                }
+                const auto what = orders_[index].what;
+                orders_.erase(
+                    orders_.begin() + static_cast<std::ptrdiff_t>(index));
+                carry_out_locked(what);
+            }
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+}
+
+void hosted_store::carry_out_locked(const promotion& named)
+{
+    auto& token = tokens_[named.service];
+    if (named.token >= token && promote_)
+    {
+        token = named.token;
+        promote_(named);
+    }
+}
+
+hosted_store::answer hosted_store::promote(promotion named)
+{
+    const std::lock_guard lock(mutex_);
+    promotions_.push_back(named);
+    if (late_ms_ > 0)
+    {
+        orders_.push_back(
+            {steady_clock::now() + std::chrono::milliseconds(late_ms_), named});
+        return {0, json::object()};
+    }
+    auto& token = tokens_[named.service];
+    if (named.token < token)
+    {
+        return {409, json::object()};
+    }
+    token = named.token;
+    if (promotion_ms_ == 0 || !accept_)
+    {
+        return {promote_ && promote_(named) ? 200U : 409U, json::object()};
+    }
+    if (!accept_(named))
+    {
+        return {409, json::object()};
+    }
+    orders_.push_back(
+        {steady_clock::now() + std::chrono::milliseconds(promotion_ms_),
+         std::move(named)});
+    return {200, json::object()};
+}
+
 void hosted_store::expire_locked()
 {
     const auto now = steady_clock::now();
@@ -331,15 +408,7 @@
         auto named = order;
         named.service = request["service"].get<std::string>();
         named.instance = request["instance_id"].get<std::string>();
-        const std::lock_guard lock(mutex_);
-        promotions_.push_back(named);
-        auto& token = tokens_[named.service];
-        if (named.token < token)
-        {
-            return {409, json::object()};
-        }
-        token = named.token;
-        return {promote_ && promote_(named) ? 200U : 409U, json::object()};
+        return promote(std::move(named));
     }
     return {404, json::object()};
 }
@@ -383,8 +452,9 @@
             out = handle(
                 std::string(request.method_string()), target, request.body(),
                 order);
-            if (now == fault::answers_lost &&
-                request.method() == http::verb::post)
+            const bool is_lost = now == fault::answers_lost &&
+                                 request.method() == http::verb::post;
+            if (is_lost || out.status == 0)
             {
                 http::read(peer, buffer, request, failure);
                 return;
--- a/tests/support/hosted_store.hpp
+++ b/tests/support/hosted_store.hpp
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace zinniahub::test
@@ -43,8 +44,15 @@
         std::string holder;
         std::uint64_t token = 0;
     };
+    /// @brief A promotion that the platform carries out later.
+    struct pending_promotion
+    {
+        std::chrono::steady_clock::time_point due;
+        promotion what;
+    };
 
     hosted_store();
+    ~hosted_store();
 
     std::string address() const
     {
@@ -75,6 +83,20 @@
     /// @brief Called for each order to promote; false means 409.
     void on_promotion(std::function<bool(const promotion&)> handler);
     std::vector<promotion> promotions() const;
+    /// @brief Whether the member of an order is running. Asked when the order
+    /// arrives, if promotions take time.
+    void on_order(std::function<bool(const promotion&)> handler);
+    /// @brief Time from the reply to an order until it is carried out.
+    void set_promotion_time(std::chrono::milliseconds value)
+    {
+        promotion_ms_ = value.count();
+    }
+    /// @brief Orders get no reply and are carried out after `value`, if their
+    /// fencing token is still the highest then; 0 ends this.
+    void delay_orders(std::chrono::milliseconds value)
+    {
+        late_ms_ = value.count();
+    }
 
 private:
     struct item
@@ -111,6 +133,9 @@
     answer
     watch(const std::string& prefix, std::uint64_t after, std::int64_t wait_ms);
     answer transact(const nlohmann::json& body);
+    answer promote(promotion named);
+    void carry_out_locked(const promotion& named);
+    void carry_out_orders();
     answer grant(const nlohmann::json& body);
     void expire_locked();
     void write_locked(
@@ -130,7 +155,13 @@
     std::atomic<std::uint64_t> calls_{0};
     std::function<bool(const promotion&)> promote_;
     std::vector<promotion> promotions_;
+    std::function<bool(const promotion&)> accept_;
+    std::vector<pending_promotion> orders_;
+    std::atomic<std::int64_t> promotion_ms_{0};
+    std::atomic<std::int64_t> late_ms_{0};
     std::map<std::string, std::uint64_t> tokens_;
+    std::atomic<bool> ended_{false};
+    std::thread worker_;
     /// Declared last, because its threads use the members above.
     hosted_server server_;
 };
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -178,6 +178,11 @@
     ::kill(pid_, SIGCONT);
 }
 
+void process::hang_up() const
+{
+    ::kill(pid_, SIGHUP);
+}
+
 bool process::is_running()
 {
     return pid_ > 0 && !wait(std::chrono::milliseconds(0));
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -30,6 +30,8 @@
     /// @brief Suspends the process; simulates a paused host.
     void freeze() const;
     void resume() const;
+    /// @brief Sends SIGHUP.
+    void hang_up() const;
     bool is_running();
     /// @return the exit code, or nothing if it does not end in time
     std::optional<int> wait(std::chrono::milliseconds timeout);
