--- a/tests/support/soak_run.hpp
+++ b/tests/support/soak_run.hpp
@@ -98,6 +98,7 @@
         unsigned start = 0;
         bool is_suspended = false;
         bool was_suspended_in_stop = false;
+        soak_time started;
         soak_time stop_began;
         std::chrono::milliseconds downtime{};
         std::atomic<bool> in_rotation{true};
@@ -138,6 +139,7 @@
     void end_outage();
     void expire_registrations(const soak_event& event);
     void crash(slot& target, std::chrono::milliseconds downtime);
+    void stall(slot* target, std::chrono::milliseconds duration);
     void replace(slot& target, std::chrono::milliseconds leaving_time);
     void send_heartbeat(slot& target);
     slot* primary_slot();
--- a/tests/support/soak_schedule.cpp
+++ b/tests/support/soak_schedule.cpp
@@ -80,6 +80,8 @@
     case soak_fault::registrations_expire:
     case soak_fault::member_cut_off:
         return static_cast<unsigned>(numbers.between(1, 5));
+    case soak_fault::replica_stalled:
+        return numbers.chance(30) ? 1 : 0;
     case soak_fault::orders_late:
         return static_cast<unsigned>(numbers.between(300, 3000));
     default:
@@ -169,6 +171,25 @@
             out.push_back(event);
             event.at += milliseconds(pause);
         }
+        // Hosts restart and replicas stall about the time at which
+        // registrations come back.
+        const bool is_expiry = kind.fault == soak_fault::registrations_expire ||
+                               kind.fault == soak_fault::member_cut_off;
+        if (is_expiry && numbers.chance(60))
+        {
+            const auto end = at + event.duration;
+            out.push_back(
+                {at, soak_fault::replica_stalled,
+                 static_cast<unsigned>(numbers.between(0, members)),
+                 event.duration + milliseconds(numbers.between(500, 4000)), 0});
+            for (unsigned hit = 0; hit < proxies; ++hit)
+            {
+                out.push_back(
+                    {end + milliseconds(numbers.between(0, 400)),
+                     soak_fault::proxy_kill, hit,
+                     milliseconds(numbers.between(50, 400)), 0});
+            }
+        }
         // Faults come close together or after a rest.
         at += milliseconds(
             numbers.chance(60) ? numbers.between(0, 600)
--- a/tests/support/soak_schedule.hpp
+++ b/tests/support/soak_schedule.hpp
@@ -48,7 +48,7 @@
     history_dropped,
     primary_crash,
     replica_crash,
-    /// The replica receives nothing.
+    /// The replica receives nothing; `variant` 1: both do.
     replica_stalled,
     /// The member announces its end, ends, and its log goes to a successor.
     member_replaced,
