--- a/tests/support/soak_run.hpp
+++ b/tests/support/soak_run.hpp
@@ -134,6 +134,7 @@
     void watch_proxy(proxy& target);
     std::size_t index_of(const proxy& target) const;
 
+    void write_configuration();
     void configure(unsigned versions, std::chrono::milliseconds interval);
     void begin_outage(const soak_event& event);
     void end_outage();
