--- a/tests/integration/integration-platform_soak.cpp
+++ b/tests/integration/integration-platform_soak.cpp
@@ -12,7 +12,8 @@
 //   SOAK_SEEDS=100-149 SOAK_LENGTH_S=20 SOAK_PROXIES=4
 //     build/integration-platform_soak --gtest_filter=platform_soak.by_hand
 //
-// prints a line for each seed, and the schedule of each run that broke a rule.
+// prints a line for each seed, and the schedule of each run that broke a rule;
+// with SOAK_LOGS=1 also the logs of its proxies.
 // Seeds with remainder 1 of 4 draw planned faults only, 2 those of members, 3
 // those of the store, 0 all.
 
@@ -67,7 +68,7 @@
     {
         text += "  " + zinniahub::test::to_string(event) + "\n";
     }
-    if (std::getenv("SOAK_LOGS") != nullptr)
+    if (number_from("SOAK_LOGS", 0) == 1)
     {
         for (unsigned proxy = 0; proxy < settings.proxies; ++proxy)
         {
@@ -151,6 +152,34 @@
     }
 }
 
+// The first seeds of three of the four kinds of schedule.
+
+// Guards against requests cut by planned stops, settings, configurations and
+// replacements of members.
+TEST(platform_soak, planned_work_keeps_the_rules)
+{
+    soak({.seed = 1});
+}
+
+// Guards against broken rules around outages of the store.
+TEST(platform_soak, outages_of_the_store_keep_the_rules)
+{
+    soak({.seed = 3});
+}
+
+// Guards against broken rules under all faults together.
+TEST(platform_soak, mixed_faults_keep_the_rules)
+{
+    soak({.seed = 4});
+}
+
+// Guards against a promotion by a new process that sees one stalled replica
+// only, while the registrations of the primary and of the other one return.
+TEST(platform_soak, restarts_while_registrations_return_lose_nothing)
+{
+    soak({.seed = 119});
+}
+
 // Runs the seeds of the environment; without SOAK_SEEDS there is nothing to do.
 TEST(platform_soak, by_hand)
 {
--- a/tests/support/soak_run.hpp
+++ b/tests/support/soak_run.hpp
@@ -20,7 +20,7 @@
     std::uint64_t seed = 1;
     std::chrono::milliseconds length{20000};
     unsigned proxies = 4;
-    unsigned callers = 8;
+    unsigned callers = 9;
 };
 
 /// @brief What happened to the processes and the stand-ins, for the checks.
