--- a/tests/integration/integration-platform_soak.cpp
+++ b/tests/integration/integration-platform_soak.cpp
@@ -180,6 +180,39 @@
     soak({.seed = 119});
 }
 
+// Guards against a stalled replica that is promoted by a new process, although
+// a replica whose registration returns within 2 s acknowledges the commits.
+TEST(platform_soak, stalled_replica_is_not_promoted_while_another_receives)
+{
+    using zinniahub::test::line_caller;
+    zinniahub::test::hosted_platform platform;
+    platform.configure(1, {{"alba", "key-a"}});
+    zinniahub::test::hosted_proxy proxy(platform, "n1");
+    ASSERT_TRUE(proxy.wait_until_ready());
+    platform.set_receiving(1, false);
+    platform.remove_member(2);
+    proxy.restart();
+    ASSERT_TRUE(proxy.wait_until_ready());
+    unsigned acknowledged = 0;
+    const auto begun = std::chrono::steady_clock::now();
+    bool is_registered = false;
+    while (std::chrono::steady_clock::now() < begun + 4s)
+    {
+        line_caller caller(proxy.address(), 3s);
+        const bool is_written = caller.start("latest", "key-a").ok() &&
+                                caller.run("PUT item value").ok();
+        acknowledged += is_written ? 1 : 0;
+        if (!is_registered && std::chrono::steady_clock::now() > begun + 1900ms)
+        {
+            platform.register_member(2);
+            is_registered = true;
+        }
+        std::this_thread::sleep_for(10ms);
+    }
+    EXPECT_GT(acknowledged, 20U);
+    EXPECT_EQ(platform.primary(), 0U);
+}
+
 // Runs the seeds of the environment; without SOAK_SEEDS there is nothing to do.
 TEST(platform_soak, by_hand)
 {
