--- a/tests/support/hosted_proxy.cpp
+++ b/tests/support/hosted_proxy.cpp
@@ -41,8 +41,10 @@
 
 } // namespace
 
-line_caller::line_caller(const std::string& proxy)
+line_caller::line_caller(
+    const std::string& proxy, std::chrono::milliseconds limit)
     : socket_(io_)
+    , limit_(limit)
 {
     boost::system::error_code failure;
     socket_.connect(endpoint_of(proxy), failure);
@@ -78,6 +80,13 @@
     while (true)
     {
         boost::system::error_code failure;
+        pollfd entry{socket_.native_handle(), POLLIN, 0};
+        if (buffer_.size() == 0 &&
+            ::poll(&entry, 1, static_cast<int>(limit_.count())) == 0)
+        {
+            reply.unanswered = true;
+            return reply;
+        }
         asio::read_until(socket_, buffer_, "\r\n", failure);
         if (failure)
         {
@@ -134,8 +143,15 @@
     std::filesystem::create_directories(folder);
     settings_path_ = folder / "boot.toml";
     log_path_ = folder / "log";
-    const auto store = const_cast<hosted_platform&>(platform).store().address();
-    std::ofstream(settings_path_) << fmt::format(
+    store_ = const_cast<hosted_platform&>(platform).store().address();
+    write_settings(5000);
+    restart();
+}
+
+void hosted_proxy::write_settings(unsigned evacuation_ms)
+{
+    const auto written = settings_path_ + ".new";
+    std::ofstream(written) << fmt::format(
         R"(node_name = "{}"
 zone = "zone-0"
 ip_address = "127.0.0.1"
@@ -146,7 +162,7 @@
 [bounds]
 drain_timeout_ms = 7000
 grace_period_s = 6
-evacuation_ms = 5000
+evacuation_ms = {}
 config_apply_ms = 3000
 quota_overage = 0.1
 quota_tolerance = 20
@@ -156,8 +172,8 @@
 address = "{}"
 assigned_tasks = ["promotion"]
 )",
-        name_, address_, ready_, store, store);
-    restart();
+        name_, address_, ready_, evacuation_ms, store_, store_);
+    std::filesystem::rename(written, settings_path_);
 }
 
 void hosted_proxy::restart()
