--- a/tests/support/hosted_store.cpp
+++ b/tests/support/hosted_store.cpp
@@ -169,14 +169,14 @@
 }
 
 void hosted_store::write_locked(
-    const std::string& key, const std::string& value, std::uint64_t lease)
+    const std::string& key, const std::string& value, std::uint64_t lease_id)
 {
     auto& entry = items_[key];
     entry.value = value;
     entry.revision = ++revision_;
     entry.created = entry.created == 0 ? revision_ : entry.created;
-    entry.lease = lease;
-    history_.push_back({key, revision_, false, value, lease});
+    entry.lease = lease_id;
+    history_.push_back({key, revision_, false, value, lease_id});
     changed_.notify_all();
 }
 
--- a/tests/support/soak_checks.cpp
+++ b/tests/support/soak_checks.cpp
@@ -370,8 +370,11 @@
             {
                 break;
             }
-            out = at + config_apply < request.sent ? std::optional(holds)
-                                                   : std::nullopt;
+            out.reset();
+            if (at + config_apply < request.sent)
+            {
+                out = holds;
+            }
         }
         return out;
     }
