Keep a customer's limit in 24 portions at the owners of evenly spaced parts

Callers of customers with small limits were refused on large fleets although the fleet was far below their limits: with 80 hosts, each had 1/80 of the limit and its bucket never held a whole token.

The record of the shares now gives each host ranges of the 10,000 parts. Each customer's limit has 24 portions at evenly spaced parts, and the owner of a part keeps the portion. Hosts without tokens request them from the keepers. A lent token expires 200 ms after it was requested, and the refill is lowered so that a window longer by this time stays within the limit; replies name the request, so a repeated or late one adds nothing. The registration is checked at the spending, so a host that wakes up after a suspension does not use parts that have been reassigned. Waiting requests are served in the order of arrival.

--- a/include/zinniahub/rate_ledger.hpp
+++ b/include/zinniahub/rate_ledger.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <zinniahub/part_ranges.hpp>
 #include <zinniahub/rate_share.hpp>
 #include <zinniahub/time.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,16 +16,29 @@
 namespace zinniahub
 {
 
-/// @brief Share of every customer's limit that each host may use, in parts of
-/// `total_parts`. The sum is at most `total_parts`.
+/// @brief Parts of the rate limits that each host owns. The ranges of different
+/// hosts are disjoint. A host keeps the portions of each customer's limit that
+/// lie within its ranges.
 struct rate_shares
 {
     static constexpr std::uint32_t total_parts = 10000;
 
-    std::map<std::string, std::uint32_t, std::less<>> by_host;
+    std::map<std::string, part_ranges, std::less<>> by_host;
+    /// Hosts that hold a number of parts without ranges, as written by earlier
+    /// versions. No ranges are assigned until there are none.
+    std::set<std::string, std::less<>> without_ranges;
+
+    friend bool operator==(const rate_shares&, const rate_shares&) = default;
 
     std::uint32_t sum() const;
+    /// @brief Number of parts of a host.
     std::uint32_t share_of(std::string_view host) const;
+    const part_ranges& ranges_of(std::string_view host) const;
+    part_ranges free_ranges() const;
+    /// @brief True if the ranges are within `total_parts` and disjoint.
+    bool is_valid() const;
+    /// @brief Hosts that keep a portion of a customer's limit.
+    std::vector<std::string> keepers_of(std::string_view customer) const;
 };
 
 /// @brief A change of the shares, to be written with compare-and-swap.
@@ -41,7 +56,7 @@
 /// host that joins, because a share is removed only from a host whose
 /// registration has ended. Only a host itself lowers its share. It stops using
 /// the difference before it writes the lower share, and uses a higher share
-/// only after that was written, so the shares in use never exceed the total.
+/// only after that was written, so no part is in use by two hosts.
 class share_planner
 {
 public:
@@ -74,6 +89,11 @@
     share_change assign_free_shares(
         const std::set<std::string>& hosts, const rate_shares& shares,
         bool only_self) const;
+    std::optional<share_change> remove_shares_without_ranges(
+        const std::set<std::string>& hosts, const rate_shares& shares) const;
+    void remove_ended_hosts(
+        share_change& change, const std::set<std::string>& hosts,
+        std::uint32_t needed) const;
 
     settings settings_;
     std::set<std::string> hosts_;
@@ -92,14 +112,21 @@
     duration window = std::chrono::seconds(5);
 };
 
+/// Time for which a lent token may be used. It is counted from before the
+/// request for it was sent and covers a round trip between the hosts.
+inline constexpr duration lent_token_validity = std::chrono::milliseconds(200);
+
 /// @brief Enforces this host's part of one customer's limit with a token bucket
 /// that starts empty and never holds more than its capacity.
 ///
-/// Hosts transfer tokens to one another. The receiver accepts no more than its
-/// capacity allows, so all buckets together never hold more than the customer's
-/// burst, and all hosts together stay within the limit in every window. Tokens
-/// lost in transit are never spent. A restarted host begins with an empty
-/// bucket, which accounts for the tokens it spent before the restart.
+/// Hosts lend tokens to one another, also to hosts without a part. A lent token
+/// expires `lent_token_validity` after it was requested and is not lent again.
+/// Every operation of a window of length w thus takes a token that left a
+/// bucket at most w + `lent_token_validity` before the end of the window. The
+/// refill of the buckets is lowered so that even the tokens of this longer
+/// window stay within the limit. Tokens lost in transit are never spent. A
+/// restarted host begins with an empty bucket, which accounts for the tokens it
+/// spent before the restart.
 class host_rate_limiter
 {
 public:
@@ -108,42 +135,61 @@
 
     void set_limit(rate_limit limit, time_point now);
     /// @param share in parts of `rate_shares::total_parts`
-    void set_share(std::uint32_t share, time_point now);
+    /// @param valid_until time from which the share may belong to another host
+    void set_share(
+        std::uint32_t share, time_point now, time_point valid_until = never);
 
+    /// @brief Takes a token, a lent one if there is any.
     bool try_take(time_point now);
 
     /// @brief Number of tokens to request from another host, 0 if none are
-    /// needed.
-    double wanted(time_point now);
-    /// @brief Removes tokens for another host: at most half of those held, or
-    /// the last one. Fractions of a token are transferred too, so that
-    /// fractions held by several hosts add up to a usable token when the limit
-    /// is small.
+    /// needed: one for each waiting operation, and as many as the recent load
+    /// uses within a round trip.
+    double wanted(time_point now, std::size_t waiting = 1);
+    /// @brief Removes whole tokens for another host: at most half of those
+    /// held, or the last one.
     /// @return tokens removed
     double give(double asked, time_point now);
     /// @brief Returns the token of an operation that was not sent to a member.
-    void refund(time_point now)
+    void refund(time_point now);
+    /// @brief Adds tokens that another host lent.
+    /// @param requested_at time before the request for the tokens was sent
+    void receive(double tokens, time_point now, time_point requested_at);
+    void receive(double tokens, time_point now)
     {
-        bucket_.put(1, now);
+        receive(tokens, now, now);
     }
-    /// @brief Adds tokens from another host. Tokens above the capacity are
-    /// discarded.
-    void receive(double tokens, time_point now);
 
+    /// @brief Number of tokens in the bucket.
     double level(time_point now);
     double capacity() const;
+    std::uint32_t share() const
+    {
+        return share_;
+    }
     /// @brief Time until this host holds the given number of tokens without
     /// tokens from other hosts; `duration::max()` if it never will.
     duration time_until_available(double tokens, time_point now);
 
 private:
+    struct lent_tokens
+    {
+        double count;
+        time_point expires_at;
+    };
+
     void update(time_point now);
+    void drop_expired(time_point now);
+    double lent() const;
     rate_limit bucket_limit() const;
 
     rate_allowance allowance_;
     rate_limit limit_;
     std::uint32_t share_ = 0;
+    time_point share_valid_until_ = never;
     token_bucket bucket_;
+    std::deque<lent_tokens> lent_;
+    sliding_window_counter taken_;
 };
 
 } // namespace zinniahub
--- a/src/coordination/host_registry.cpp
+++ b/src/coordination/host_registry.cpp
@@ -82,6 +82,13 @@
     return names;
 }
 
+std::string host_registry::address_of(std::string_view host) const
+{
+    const auto found = registrations_.find(host);
+    return found == registrations_.end() ? std::string{}
+                                         : found->second.address;
+}
+
 std::uint64_t host_registry::revision_of(std::string_view host) const
 {
     const auto found = registrations_.find(host);
--- a/src/coordination/host_registry.hpp
+++ b/src/coordination/host_registry.hpp
@@ -60,6 +60,8 @@
     {
         return peer_addresses_;
     }
+    /// @brief Address of a registered host; empty if it is not registered.
+    std::string address_of(std::string_view host) const;
     /// @brief Revision of a host's registration, 0 if there is none.
     std::uint64_t revision_of(std::string_view host) const;
 
--- a/src/coordination/rate_limiter.cpp
+++ b/src/coordination/rate_limiter.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace zinniahub::coordination
@@ -27,14 +28,17 @@
 /// Time to wait for the reply of a host before the next one is tried.
 constexpr duration token_reply_timeout = std::chrono::milliseconds(8);
 
-/// Pause after all hosts replied without tokens.
+/// Time for which a host that did not answer is not asked.
+constexpr duration unresponsive_pause = std::chrono::seconds(2);
+
+/// Pause after the keepers replied without tokens.
 constexpr duration exhausted_backoff = std::chrono::milliseconds(60);
 
 /// Minimum time between token requests made ahead of demand.
 constexpr duration request_interval = std::chrono::milliseconds(15);
 
-/// Hosts tried before a request is refused.
-constexpr std::size_t max_peers_asked = 6;
+/// Keepers without tokens before a request is refused.
+constexpr std::size_t max_empty_replies = 6;
 
 /// Upper bound of a valid count; no configured limit is as high.
 constexpr double max_token_count = 1e9;
@@ -42,6 +46,24 @@
 constexpr std::string_view request_word = "ask";
 constexpr std::string_view reply_word = "give";
 
+std::optional<part_ranges> decode_ranges(const nlohmann::json& list)
+{
+    std::vector<part_range> ranges;
+    for (const auto& item : list)
+    {
+        const bool is_range = item.is_array() && item.size() == 2 &&
+                              item[0].is_number_unsigned() &&
+                              item[1].is_number_unsigned();
+        if (!is_range)
+        {
+            return std::nullopt;
+        }
+        ranges.push_back(
+            {item[0].get<std::uint32_t>(), item[1].get<std::uint32_t>()});
+    }
+    return part_ranges(std::move(ranges));
+}
+
 std::optional<rate_shares> decode(std::string_view text)
 {
     const auto document = nlohmann::json::parse(text, nullptr, false);
@@ -50,20 +72,49 @@
         return std::nullopt;
     }
     rate_shares shares;
-    for (const auto& [host, share] : document.items())
+    for (const auto& [host, value] : document.items())
     {
-        if (!share.is_number_unsigned())
+        if (value.is_number_unsigned())
+        {
+            shares.without_ranges.insert(host);
+            continue;
+        }
+        const auto ranges =
+            value.is_array() ? decode_ranges(value) : std::nullopt;
+        if (!ranges)
         {
             return std::nullopt;
         }
-        shares.by_host[host] = share.get<std::uint32_t>();
+        shares.by_host[host] = *ranges;
     }
-    return shares;
+    return shares.is_valid() ? std::optional(std::move(shares)) : std::nullopt;
 }
 
 std::string encode(const rate_shares& shares)
 {
-    return nlohmann::json(shares.by_host).dump();
+    nlohmann::json document = nlohmann::json::object();
+    for (const auto& [host, parts] : shares.by_host)
+    {
+        auto list = nlohmann::json::array();
+        for (const auto& range : parts.ranges())
+        {
+            list.push_back({range.begin, range.end});
+        }
+        document[host] = std::move(list);
+    }
+    for (const auto& host : shares.without_ranges)
+    {
+        document[host] = 1U;
+    }
+    return document.dump();
+}
+
+part_ranges intersection(const part_ranges& left, const part_ranges& right)
+{
+    constexpr auto total = rate_shares::total_parts;
+    auto outside = left.complement(total);
+    outside.add(right.complement(total));
+    return outside.complement(total);
 }
 
 } // namespace
@@ -80,6 +131,8 @@
     , allowance_(allowance)
     , events_(events)
     , planner_({.host = host_})
+    , next_request_id_(
+          static_cast<std::uint64_t>(clock::now().time_since_epoch().count()))
 {
     network_.set_handler(
         request_word, [this](std::string_view from, std::string_view text)
@@ -141,6 +194,10 @@
     }
     shares_revision_ = item.removed ? 0 : item.revision;
     shares_ = *shares;
+    if (item.revision > replaced_revision_)
+    {
+        parts_being_written_.reset();
+    }
     apply_share();
 }
 
@@ -149,17 +206,41 @@
     apply_share();
 }
 
+part_ranges rate_limiter::usable_parts() const
+{
+    const auto& owned = shares_.ranges_of(host_);
+    return parts_being_written_ ? intersection(owned, *parts_being_written_)
+                                : owned;
+}
+
 void rate_limiter::apply_share()
 {
-    const auto now = clock::now();
-    // Without a valid registration the share may have been reassigned.
-    const auto share = hosts_.valid_until() > now
-                           ? std::min(shares_.share_of(host_), share_ceiling_)
-                           : 0;
     for (auto& [name, customer] : customers_)
     {
-        customer.account.set_share(share, now);
+        apply_share(name, customer);
+    }
+}
+
+void rate_limiter::apply_share(std::string_view name, customer_state& state)
+{
+    const auto portions = count_portions(name, usable_parts());
+    // Without a valid registration the parts may have been reassigned.
+    state.account.set_share(
+        portions * rate_shares::total_parts / portions_per_limit, clock::now(),
+        hosts_.valid_until());
+}
+
+void rate_limiter::update_keepers(customer_state& state) const
+{
+    if (state.keepers_revision == shares_revision_)
+    {
+        return;
     }
+    state.keepers_revision = shares_revision_;
+    state.keepers = shares_.keepers_of(state.counts.customer);
+    std::erase(state.keepers, host_);
+    // Hosts start at different keepers, so that the load is spread.
+    state.next_keeper = std::hash<std::string>{}(host_);
 }
 
 bool rate_limiter::try_admit(std::string_view customer)
@@ -171,15 +252,15 @@
     }
     auto& state = found->second;
     const auto now = clock::now();
-    if (!state.account.try_take(now))
+    if (!state.waiters.empty() || !state.account.try_take(now))
     {
         return false;
     }
     ++state.counts.granted;
     if (now - state.requested_at >= request_interval &&
-        now >= state.exhausted_until && state.account.wanted(now) > 0)
+        now >= state.exhausted_until && state.account.wanted(now, 0) > 0)
     {
-        request_tokens(found->first, state);
+        request_tokens(state, now);
     }
     return true;
 }
@@ -199,56 +280,80 @@
     {
         co_return true;
     }
+    waiter entry(io_);
+    customers_.find(customer)->second.waiters.push_back(&entry);
+    wait_result outcome;
+    const bool admitted = co_await wait_for_token(customer, entry, outcome);
+    if (!admitted)
+    {
+        // A customer with waiting requests is not removed.
+        auto& state = customers_.find(customer)->second;
+        state.waiters.remove(&entry);
+        ++state.counts.refused;
+        log_refusal(request, state, outcome, clock::now());
+    }
+    co_return admitted;
+}
+
+awaitable<bool> rate_limiter::wait_for_token(
+    const std::string& customer, waiter& entry, wait_result& outcome)
+{
+    auto& state = customers_.find(customer)->second;
     const auto until = clock::now() + max_token_wait;
-    while (true)
+    // The customer may be removed once the request has its token.
+    while (!entry.has_token)
     {
         const auto now = clock::now();
-        const auto found = customers_.find(customer);
-        if (found == customers_.end())
-        {
-            co_return true;
-        }
-        auto& state = found->second;
+        const auto position =
+            std::find(state.waiters.begin(), state.waiters.end(), &entry);
+        const auto needed =
+            std::distance(state.waiters.begin(), position) + 1;
+        outcome.refill = state.account.time_until_available(
+            static_cast<double>(needed), now);
         const bool may_request = now >= state.exhausted_until;
-        const auto refill = state.account.time_until_available(
-            static_cast<double>(state.waiters.size() + 1), now);
-        if (now >= until || (!may_request && refill > until - now))
+        if (now >= until || (!may_request && outcome.refill > until - now))
         {
-            ++state.counts.refused;
-            log_refusal(request, state, refill, now);
             co_return false;
         }
-        if (may_request && (now - state.requested_at >= token_reply_timeout ||
-                            state.waiters.empty()))
+        const auto waiting = static_cast<double>(state.waiters.size());
+        if (may_request && tokens_expected(state, now) < waiting &&
+            request_tokens(state, now))
         {
-            request_tokens(customer, state);
+            ++outcome.asked;
         }
-        waiter entry(io_);
-        state.waiters.push_back(&entry);
         entry.timer.expires_after(std::clamp<duration>(
-            refill, std::chrono::milliseconds(1), token_reply_timeout));
+            outcome.refill, std::chrono::milliseconds(1), token_reply_timeout));
         boost::system::error_code ignored;
         co_await entry.timer.async_wait(
             asio::redirect_error(asio::use_awaitable, ignored));
-        const auto again = customers_.find(customer);
-        if (again != customers_.end())
-        {
-            again->second.waiters.remove(&entry);
-        }
-        if (try_admit(customer))
+        if (!entry.has_token)
         {
-            co_return true;
+            serve_waiters(state, clock::now());
         }
     }
+    co_return true;
+}
+
+void rate_limiter::serve_waiters(customer_state& state, time_point now)
+{
+    while (!state.waiters.empty() && state.account.try_take(now))
+    {
+        auto* first = state.waiters.front();
+        state.waiters.pop_front();
+        first->has_token = true;
+        first->timer.cancel();
+        ++state.counts.granted;
+    }
 }
 
 void rate_limiter::log_refusal(
-    std::string_view request, customer_state& state, duration refill,
+    std::string_view request, customer_state& state, const wait_result& outcome,
     time_point now)
 {
     const auto ms = [](duration value) { return to_seconds(value) * 1000; };
     // A host without a share never refills.
-    const double refill_ms = refill == duration::max() ? -1 : ms(refill);
+    const double refill_ms =
+        outcome.refill == duration::max() ? -1 : ms(outcome.refill);
     events_.write(
         "rate_refused",
         {{"id", request},
@@ -259,27 +364,86 @@
          {"pause_ms",
           std::max(0.0, ms(std::max(state.exhausted_until, now) - now))},
          {"waiting", state.waiters.size()},
+         {"asked", outcome.asked},
+         {"open", state.open_requests.size()},
+         {"empty", state.empty_replies},
+         {"keepers", state.keepers.size()},
          {"peers", hosts_.peer_addresses().size()},
-         {"share", shares_.share_of(host_)},
+         {"share", state.account.share()},
          {"shares_revision", shares_revision_},
          {"registered", hosts_.valid_until() > now}});
 }
 
-void rate_limiter::request_tokens(
-    const std::string& customer, customer_state& state)
+void rate_limiter::drop_unanswered(customer_state& state, time_point now)
 {
-    const auto now = clock::now();
-    const auto peers = hosts_.peer_addresses();
-    const auto wanted = state.account.wanted(now);
+    std::erase_if(
+        state.open_requests,
+        [&](const token_request& request)
+        {
+            if (now - request.sent_at < lent_token_validity)
+            {
+                return false;
+            }
+            unresponsive_until_[request.keeper] = now + unresponsive_pause;
+            return true;
+        });
+}
+
+double rate_limiter::tokens_expected(
+    const customer_state& state, time_point now) const
+{
+    double total = 0;
+    for (const auto& request : state.open_requests)
+    {
+        total +=
+            now - request.sent_at < token_reply_timeout ? request.count : 0;
+    }
+    return total;
+}
+
+std::string rate_limiter::next_keeper(customer_state& state, time_point now)
+{
+    update_keepers(state);
+    for (std::size_t tried = 0; tried < state.keepers.size(); ++tried)
+    {
+        const auto& keeper =
+            state.keepers[state.next_keeper++ % state.keepers.size()];
+        const auto silent = unresponsive_until_.find(keeper);
+        const bool answers =
+            silent == unresponsive_until_.end() || silent->second <= now;
+        if (answers && !hosts_.address_of(keeper).empty())
+        {
+            return keeper;
+        }
+    }
+    return {};
+}
+
+bool rate_limiter::request_tokens(customer_state& state, time_point now)
+{
+    drop_unanswered(state, now);
+    const auto wanted = std::ceil(
+        state.account.wanted(now, state.waiters.size()) -
+        tokens_expected(state, now));
     state.requested_at = now;
-    if (peers.empty() || state.account.capacity() < 1)
+    if (wanted <= 0)
+    {
+        return false;
+    }
+    auto keeper = next_keeper(state, now);
+    if (keeper.empty())
     {
         state.exhausted_until = now + exhausted_backoff;
-        return;
+        return false;
     }
-    const auto& peer = peers[next_peer_++ % peers.size()];
+    const auto id = next_request_id_++;
     network_.send(
-        peer, fmt::format("{} {} {:.3f}", request_word, customer, wanted));
+        hosts_.address_of(keeper),
+        fmt::format(
+            "{} {} {:.0f} {}", request_word, state.counts.customer, wanted,
+            id));
+    state.open_requests.push_back({id, std::move(keeper), wanted, now});
+    return true;
 }
 
 rate_limiter::token_message rate_limiter::decode_message(std::string_view text)
@@ -287,7 +451,9 @@
     token_message message;
     const auto found = customers_.find(consume_word(text));
     message.state = found == customers_.end() ? nullptr : &found->second;
-    std::from_chars(text.data(), text.data() + text.size(), message.count);
+    const auto count = consume_word(text);
+    std::from_chars(count.data(), count.data() + count.size(), message.count);
+    std::from_chars(text.data(), text.data() + text.size(), message.id);
     // The comparison is also false for NaN.
     if (!(message.count > 0 && message.count < max_token_count))
     {
@@ -309,7 +475,9 @@
     state.counts.given += given;
     network_.send(
         from,
-        fmt::format("{} {} {:.3f}", reply_word, state.counts.customer, given));
+        fmt::format(
+            "{} {} {:.0f} {}", reply_word, state.counts.customer, given,
+            message.id));
 }
 
 void rate_limiter::on_token_reply(std::string_view text)
@@ -320,21 +488,34 @@
         return;
     }
     auto& state = *message.state;
-    const auto count = message.count;
     const auto now = clock::now();
+    const auto request = std::find_if(
+        state.open_requests.begin(), state.open_requests.end(),
+        [&message](const token_request& open)
+        { return open.id == message.id; });
+    // A repeated reply matches no request.
+    if (request == state.open_requests.end())
+    {
+        return;
+    }
+    const auto sent_at = request->sent_at;
+    const auto count = std::min(message.count, request->count);
+    unresponsive_until_.erase(request->keeper);
+    state.open_requests.erase(request);
     if (count > 0)
     {
         state.empty_replies = 0;
         state.counts.received += count;
-        state.account.receive(count, now);
+        state.account.receive(count, now, sent_at);
     }
     else if (
         ++state.empty_replies >=
-        std::min(max_peers_asked, hosts_.peer_addresses().size()))
+        std::min(max_empty_replies, state.keepers.size()))
     {
         state.empty_replies = 0;
         state.exhausted_until = now + exhausted_backoff;
     }
+    serve_waiters(state, now);
     for (auto* entry : state.waiters)
     {
         entry->timer.cancel();
@@ -364,12 +545,8 @@
 
 awaitable<void> rate_limiter::write_shares(share_change change)
 {
-    share_ceiling_ =
-        std::min(shares_.share_of(host_), change.shares.share_of(host_));
-    if (share_ceiling_ == 0)
-    {
-        share_ceiling_ = rate_shares::total_parts;
-    }
+    parts_being_written_ = change.shares.ranges_of(host_);
+    replaced_revision_ = shares_revision_;
     apply_share();
     store_transaction request;
     request.preconditions.push_back(
@@ -386,7 +563,6 @@
     {
         co_return;
     }
-    share_ceiling_ = rate_shares::total_parts;
     on_item({std::string(shares_key), encode(change.shares), *written});
     events_.write(
         "rate_shares_changed", {{"hosts", change.shares.by_host.size()},
--- a/src/coordination/rate_limiter.hpp
+++ b/src/coordination/rate_limiter.hpp
@@ -14,6 +14,7 @@
 
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,10 +24,11 @@
 
 /// @brief Admits operations within the customers' rate limits.
 ///
-/// The hosts' shares of the limits are one record in the store, which changes
-/// when hosts join or leave. Between such changes, hosts request tokens from
-/// one another by datagram, so that tokens follow the load without store
-/// access.
+/// The hosts' parts of the limits are one record in the store, which changes
+/// when hosts join or leave. Each customer's limit is divided into portions,
+/// which the owners of certain parts keep. A host that lacks tokens requests
+/// them by datagram from the keepers of the customer, one after the other, so
+/// that tokens follow the load without store access.
 class rate_limiter : public pooling::admission
 {
 public:
@@ -66,36 +68,69 @@
         {
         }
         boost::asio::steady_timer timer;
+        bool has_token = false;
+    };
+
+    /// A request for tokens that has not been answered.
+    struct token_request
+    {
+        std::uint64_t id = 0;
+        std::string keeper;
+        double count = 0;
+        time_point sent_at;
     };
 
     struct customer_state
     {
         host_rate_limiter account;
-        /// Requests that wait for a reply from another host.
+        /// Requests that wait for a token, in the order of their arrival.
         std::list<waiter*> waiters;
-        /// Until then all other hosts are assumed to have no spare tokens.
+        /// Until then the keepers are assumed to have no spare tokens.
         time_point exhausted_until = time_point::min();
         time_point requested_at = time_point::min();
         /// Consecutive replies without tokens.
         std::size_t empty_replies = 0;
+        std::vector<token_request> open_requests;
+        /// Other hosts that keep a portion of the limit, as of
+        /// `keepers_revision` of the shares.
+        std::vector<std::string> keepers;
+        std::uint64_t keepers_revision = 0;
+        std::size_t next_keeper = 0;
         customer_counters counts;
     };
 
-    void request_tokens(const std::string& customer, customer_state& state);
+    /// Numbers for the log line of a refusal.
+    struct wait_result
+    {
+        std::size_t asked = 0;
+        duration refill = duration::zero();
+    };
+
+    awaitable<bool> wait_for_token(
+        const std::string& customer, waiter& entry, wait_result& outcome);
+    void serve_waiters(customer_state& state, time_point now);
+    void drop_unanswered(customer_state& state, time_point now);
+    /// Tokens that requests sent within the reply timeout may still bring.
+    double tokens_expected(const customer_state& state, time_point now) const;
+    std::string next_keeper(customer_state& state, time_point now);
+    bool request_tokens(customer_state& state, time_point now);
     void log_refusal(
-        std::string_view request, customer_state& state, duration refill,
-        time_point now);
-    /// Customer and number of tokens that a message names.
+        std::string_view request, customer_state& state,
+        const wait_result& outcome, time_point now);
+    /// Customer, number of tokens and request that a message names.
     struct token_message
     {
         customer_state* state = nullptr;
         double count = 0;
+        std::uint64_t id = 0;
     };
 
     token_message decode_message(std::string_view text);
     void on_token_request(std::string_view from, std::string_view text);
     void on_token_reply(std::string_view text);
     void apply_share();
+    void apply_share(std::string_view name, customer_state& state);
+    void update_keepers(customer_state& state) const;
     awaitable<void> adjust_shares();
     awaitable<void> write_shares(share_change change);
 
@@ -110,9 +145,21 @@
     share_planner planner_;
     rate_shares shares_;
     std::uint64_t shares_revision_ = 0;
-    /// Upper limit of this host's share, lowered before a reduction is written.
-    std::uint32_t share_ceiling_ = rate_shares::total_parts;
-    std::size_t next_peer_ = 0;
+    /// This host's parts according to a change that is being written. Only
+    /// parts that it owns before and after the change may be used.
+    std::optional<part_ranges> parts_being_written_;
+    /// Revision that this change replaces. The change cannot take effect after
+    /// a later revision.
+    std::uint64_t replaced_revision_ = 0;
+    /// Parts that this host may use.
+    part_ranges usable_parts() const;
+
+    /// Hosts that left a request unanswered, with the time until which they
+    /// are not asked.
+    std::map<std::string, time_point, std::less<>> unresponsive_until_;
+    /// Differs between processes, so that a reply to an earlier process of
+    /// this host matches no request.
+    std::uint64_t next_request_id_;
 };
 
 } // namespace zinniahub::coordination
--- a/tests/unit/unit-rate_ledger.cpp
+++ b/tests/unit/unit-rate_ledger.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <deque>
+#include <random>
 
 using namespace zinniahub;
 using namespace std::chrono_literals;
@@ -18,6 +19,44 @@
 /// Maximum number of operations in any window.
 constexpr double window_limit = (40 * 5 + 40) * 1.1 + 20;
 
+constexpr std::string_view customer = "alba";
+
+std::string host_name(std::size_t number)
+{
+    return "host-" + std::to_string(100 + number);
+}
+
+std::size_t host_number(const std::string& name)
+{
+    return std::stoul(name.substr(5)) - 100;
+}
+
+std::set<std::string> host_names(std::size_t count)
+{
+    std::set<std::string> names;
+    for (std::size_t number = 0; number < count; ++number)
+    {
+        names.insert(host_name(number));
+    }
+    return names;
+}
+
+/// Shares that the planner gives to hosts that start together.
+rate_shares equal_shares(std::size_t count)
+{
+    share_planner planner({.host = host_name(0)});
+    const auto hosts = host_names(count);
+    planner.on_tick(hosts, {}, start);
+    return planner.on_tick(hosts, {}, start + 1s)->shares;
+}
+
+std::uint32_t
+share_of_customer(const rate_shares& shares, std::string_view host)
+{
+    return count_portions(customer, shares.ranges_of(host)) *
+           rate_shares::total_parts / portions_per_limit;
+}
+
 } // namespace
 
 // Guards against shares whose sum exceeds the total.
@@ -52,7 +91,8 @@
 {
     share_planner planner({.host = "a"});
     rate_shares shares;
-    shares.by_host = {{"a", 4000}, {"gone", 4000}};
+    shares.by_host = {
+        {"a", part_ranges({{0, 4000}})}, {"gone", part_ranges({{4000, 8000}})}};
     const std::set<std::string> hosts{"a", "b"};
     planner.on_tick(hosts, shares, start);
     const auto change = planner.on_tick(hosts, shares, start + 1s);
@@ -67,7 +107,8 @@
 {
     share_planner planner({.host = "a"});
     rate_shares shares;
-    shares.by_host = {{"a", 5000}, {"b", 5000}};
+    shares.by_host = {
+        {"a", part_ranges({{0, 5000}})}, {"b", part_ranges({{5000, 10000}})}};
     const std::set<std::string> hosts{"a", "b", "c"};
     planner.on_tick(hosts, shares, start);
     const auto change = planner.on_tick(hosts, shares, start + 1s);
@@ -198,3 +239,41 @@
     EXPECT_TRUE(limiter.try_take(start + wait + 1ms));
     EXPECT_EQ(limiter.time_until_available(10'000, start), duration::max());
 }
+
+// Guards against refusing a customer with a small limit on many hosts, each of
+// which has too small a part of the limit to hold a whole token, although all
+// hosts together are far below the limit.
+TEST(host_rate_limiter, many_hosts_serve_a_small_limit)
+{
+    constexpr std::size_t hosts = 80;
+    constexpr std::size_t max_keepers_asked = 6;
+    constexpr rate_limit small{16, 24};
+    constexpr auto load = 10;
+    const auto shares = equal_shares(hosts);
+    std::vector<host_rate_limiter> limiters(
+        hosts, host_rate_limiter(allowance, small, start));
+    for (std::size_t host = 0; host < hosts; ++host)
+    {
+        limiters[host].set_share(
+            share_of_customer(shares, host_name(host)), start);
+    }
+    const auto keepers = shares.keepers_of(customer);
+    std::mt19937_64 random(1);
+    int requests = 0;
+    int served = 0;
+    for (auto now = start + 5s; now < start + 65s; now += duration(1s) / load)
+    {
+        auto& own = limiters[random() % hosts];
+        bool taken = own.try_take(now);
+        for (std::size_t i = 0; i < max_keepers_asked && !taken; ++i)
+        {
+            const auto& keeper = keepers[random() % keepers.size()];
+            auto& other = limiters[host_number(keeper)];
+            own.receive(other.give(own.wanted(now), now), now);
+            taken = own.try_take(now);
+        }
+        ++requests;
+        served += taken ? 1 : 0;
+    }
+    EXPECT_GE(served, 0.99 * requests);
+}
