--- a/include/zinniahub/part_ranges.hpp
+++ b/include/zinniahub/part_ranges.hpp
@@ -44,6 +44,10 @@
     std::vector<part_range> ranges_;
 };
 
+/// @brief Parts of [0, total) that are in both sets.
+part_ranges intersection(
+    const part_ranges& left, const part_ranges& right, std::uint32_t total);
+
 /// Number of equal portions into which each customer's limit is divided. Each
 /// portion must hold a whole token of a small limit, and the loss of one host
 /// must not cost a customer much of its limit. The number is the same for all
@@ -55,8 +59,7 @@
 /// part keeps the portion. The parts of a customer are evenly spaced, at an
 /// offset that differs between customers.
 /// @param portion less than `portions_per_limit`
-std::uint32_t
-part_of_portion(std::string_view customer, std::uint32_t portion);
+std::uint32_t part_of_portion(std::string_view customer, std::uint32_t portion);
 
 /// @brief Number of portions of a customer's limit that lie within the parts.
 std::uint32_t
--- a/src/coordination/rate_limiter.cpp
+++ b/src/coordination/rate_limiter.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace zinniahub::coordination
@@ -109,14 +108,6 @@
     return document.dump();
 }
 
-part_ranges intersection(const part_ranges& left, const part_ranges& right)
-{
-    constexpr auto total = rate_shares::total_parts;
-    auto outside = left.complement(total);
-    outside.add(right.complement(total));
-    return outside.complement(total);
-}
-
 } // namespace
 
 rate_limiter::rate_limiter(
@@ -131,7 +122,7 @@
     , allowance_(allowance)
     , events_(events)
     , planner_({.host = host_})
-    , next_request_id_(
+    , first_request_id_(
           static_cast<std::uint64_t>(clock::now().time_since_epoch().count()))
 {
     network_.set_handler(
@@ -162,8 +153,9 @@
         auto& added =
             customers_
                 .emplace(
-                    name,
-                    customer_state{host_rate_limiter(allowance_, limit, now)})
+                    name, customer_state(
+                              host_rate_limiter(allowance_, limit, now),
+                              first_request_id_))
                 .first->second;
         added.counts.customer = name;
     }
@@ -209,8 +201,10 @@
 part_ranges rate_limiter::usable_parts() const
 {
     const auto& owned = shares_.ranges_of(host_);
-    return parts_being_written_ ? intersection(owned, *parts_being_written_)
-                                : owned;
+    return parts_being_written_
+               ? intersection(
+                     owned, *parts_being_written_, rate_shares::total_parts)
+               : owned;
 }
 
 void rate_limiter::apply_share()
@@ -306,8 +300,7 @@
         const auto now = clock::now();
         const auto position =
             std::find(state.waiters.begin(), state.waiters.end(), &entry);
-        const auto needed =
-            std::distance(state.waiters.begin(), position) + 1;
+        const auto needed = std::distance(state.waiters.begin(), position) + 1;
         outcome.refill = state.account.time_until_available(
             static_cast<double>(needed), now);
         const bool may_request = now >= state.exhausted_until;
@@ -316,8 +309,9 @@
             co_return false;
         }
         const auto waiting = static_cast<double>(state.waiters.size());
-        if (may_request && tokens_expected(state, now) < waiting &&
-            request_tokens(state, now))
+        const auto expected =
+            state.requests.count_since(token_reply_timeout, now);
+        if (may_request && expected < waiting && request_tokens(state, now))
         {
             ++outcome.asked;
         }
@@ -365,7 +359,7 @@
           std::max(0.0, ms(std::max(state.exhausted_until, now) - now))},
          {"waiting", state.waiters.size()},
          {"asked", outcome.asked},
-         {"open", state.open_requests.size()},
+         {"open", state.requests.size()},
          {"empty", state.empty_replies},
          {"keepers", state.keepers.size()},
          {"peers", hosts_.peer_addresses().size()},
@@ -374,33 +368,6 @@
          {"registered", hosts_.valid_until() > now}});
 }
 
-void rate_limiter::drop_unanswered(customer_state& state, time_point now)
-{
-    std::erase_if(
-        state.open_requests,
-        [&](const token_request& request)
-        {
-            if (now - request.sent_at < lent_token_validity)
-            {
-                return false;
-            }
-            unresponsive_until_[request.keeper] = now + unresponsive_pause;
-            return true;
-        });
-}
-
-double rate_limiter::tokens_expected(
-    const customer_state& state, time_point now) const
-{
-    double total = 0;
-    for (const auto& request : state.open_requests)
-    {
-        total +=
-            now - request.sent_at < token_reply_timeout ? request.count : 0;
-    }
-    return total;
-}
-
 std::string rate_limiter::next_keeper(customer_state& state, time_point now)
 {
     update_keepers(state);
@@ -421,10 +388,12 @@
 
 bool rate_limiter::request_tokens(customer_state& state, time_point now)
 {
-    drop_unanswered(state, now);
-    const auto wanted = std::ceil(
-        state.account.wanted(now, state.waiters.size()) -
-        tokens_expected(state, now));
+    for (const auto& keeper : state.requests.drop_unanswered(now))
+    {
+        unresponsive_until_[keeper] = now + unresponsive_pause;
+    }
+    const auto wanted = state.account.wanted(now, state.waiters.size()) -
+                        state.requests.count_since(token_reply_timeout, now);
     state.requested_at = now;
     if (wanted <= 0)
     {
@@ -436,13 +405,12 @@
         state.exhausted_until = now + exhausted_backoff;
         return false;
     }
-    const auto id = next_request_id_++;
+    const auto address = hosts_.address_of(keeper);
+    const auto id = state.requests.add(std::move(keeper), wanted, now);
     network_.send(
-        hosts_.address_of(keeper),
-        fmt::format(
-            "{} {} {:.0f} {}", request_word, state.counts.customer, wanted,
-            id));
-    state.open_requests.push_back({id, std::move(keeper), wanted, now});
+        address, fmt::format(
+                     "{} {} {:.0f} {}", request_word, state.counts.customer,
+                     wanted, id));
     return true;
 }
 
@@ -474,10 +442,9 @@
     const auto given = state.account.give(message.count, clock::now());
     state.counts.given += given;
     network_.send(
-        from,
-        fmt::format(
-            "{} {} {:.0f} {}", reply_word, state.counts.customer, given,
-            message.id));
+        from, fmt::format(
+                  "{} {} {:.0f} {}", reply_word, state.counts.customer, given,
+                  message.id));
 }
 
 void rate_limiter::on_token_reply(std::string_view text)
@@ -489,24 +456,18 @@
     }
     auto& state = *message.state;
     const auto now = clock::now();
-    const auto request = std::find_if(
-        state.open_requests.begin(), state.open_requests.end(),
-        [&message](const token_request& open)
-        { return open.id == message.id; });
-    // A repeated reply matches no request.
-    if (request == state.open_requests.end())
+    const auto answer = state.requests.on_reply(message.id, message.count);
+    if (!answer)
     {
         return;
     }
-    const auto sent_at = request->sent_at;
-    const auto count = std::min(message.count, request->count);
-    unresponsive_until_.erase(request->keeper);
-    state.open_requests.erase(request);
+    const auto count = answer->count;
+    unresponsive_until_.erase(answer->keeper);
     if (count > 0)
     {
         state.empty_replies = 0;
         state.counts.received += count;
-        state.account.receive(count, now, sent_at);
+        state.account.receive(count, now, answer->requested_at);
     }
     else if (
         ++state.empty_replies >=
--- a/src/coordination/rate_limiter.hpp
+++ b/src/coordination/rate_limiter.hpp
@@ -8,6 +8,7 @@
 
 #include <zinniahub/proxy_configuration.hpp>
 #include <zinniahub/rate_ledger.hpp>
+#include <zinniahub/token_requests.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -71,17 +72,14 @@
         bool has_token = false;
     };
 
-    /// A request for tokens that has not been answered.
-    struct token_request
-    {
-        std::uint64_t id = 0;
-        std::string keeper;
-        double count = 0;
-        time_point sent_at;
-    };
-
     struct customer_state
     {
+        customer_state(host_rate_limiter limiter, std::uint64_t first_id)
+            : account(std::move(limiter))
+            , requests(first_id)
+        {
+        }
+
         host_rate_limiter account;
         /// Requests that wait for a token, in the order of their arrival.
         std::list<waiter*> waiters;
@@ -90,7 +88,7 @@
         time_point requested_at = time_point::min();
         /// Consecutive replies without tokens.
         std::size_t empty_replies = 0;
-        std::vector<token_request> open_requests;
+        token_requests requests;
         /// Other hosts that keep a portion of the limit, as of
         /// `keepers_revision` of the shares.
         std::vector<std::string> keepers;
@@ -109,9 +107,6 @@
     awaitable<bool> wait_for_token(
         const std::string& customer, waiter& entry, wait_result& outcome);
     void serve_waiters(customer_state& state, time_point now);
-    void drop_unanswered(customer_state& state, time_point now);
-    /// Tokens that requests sent within the reply timeout may still bring.
-    double tokens_expected(const customer_state& state, time_point now) const;
     std::string next_keeper(customer_state& state, time_point now);
     bool request_tokens(customer_state& state, time_point now);
     void log_refusal(
@@ -159,7 +154,7 @@
     std::map<std::string, time_point, std::less<>> unresponsive_until_;
     /// Differs between processes, so that a reply to an earlier process of
     /// this host matches no request.
-    std::uint64_t next_request_id_;
+    std::uint64_t first_request_id_;
 };
 
 } // namespace zinniahub::coordination
--- a/src/lib/part_ranges.cpp
+++ b/src/lib/part_ranges.cpp
@@ -1,5 +1,4 @@
 #include <zinniahub/part_ranges.hpp>
-
 #include <zinniahub/rate_ledger.hpp>
 
 #include <algorithm>
@@ -58,7 +57,8 @@
 bool part_ranges::contains(std::uint32_t part) const
 {
     return std::any_of(
-        ranges_.begin(), ranges_.end(), [part](const part_range& range)
+        ranges_.begin(), ranges_.end(),
+        [part](const part_range& range)
         { return range.begin <= part && part < range.end; });
 }
 
@@ -109,6 +109,14 @@
     return taken;
 }
 
+part_ranges intersection(
+    const part_ranges& left, const part_ranges& right, std::uint32_t total)
+{
+    auto outside = left.complement(total);
+    outside.add(right.complement(total));
+    return outside.complement(total);
+}
+
 std::uint32_t part_of_portion(std::string_view customer, std::uint32_t portion)
 {
     constexpr auto total = rate_shares::total_parts;
--- a/src/lib/rate_ledger.cpp
+++ b/src/lib/rate_ledger.cpp
@@ -57,8 +57,7 @@
     std::vector<part_range> owned;
     for (const auto& [host, parts] : by_host)
     {
-        owned.insert(
-            owned.end(), parts.ranges().begin(), parts.ranges().end());
+        owned.insert(owned.end(), parts.ranges().begin(), parts.ranges().end());
     }
     return part_ranges(std::move(owned)).complement(total_parts);
 }
