--- a/tests/unit/unit-lent_tokens.cpp
+++ b/tests/unit/unit-lent_tokens.cpp
@@ -42,8 +42,8 @@
     return std::chrono::milliseconds(random_below(bound));
 }
 
-constexpr duration load_period = 7s;
-constexpr duration idle_time = 1500ms;
+constexpr duration load_period = 10s;
+constexpr duration idle_time = 4s;
 
 struct versioned_shares
 {
@@ -210,14 +210,18 @@
 
     /// Tokens are collected without load for a while, and used at a high load
     /// in the rest of each period.
+    bool is_busy() const
+    {
+        return (now_ - start) % load_period > idle_time;
+    }
+
     void use_tokens(std::size_t number)
     {
-        const bool busy = (now_ - start) % load_period > idle_time;
-        if (busy)
+        if (is_busy())
         {
             serve(number);
         }
-        if (!busy || random_below(8) == 0)
+        if (!is_busy() || random_below(8) == 0)
         {
             request_tokens(number);
         }
@@ -335,10 +339,11 @@
     {
         auto& own = hosts_[number];
         own.requests().drop_unanswered(now_);
-        const auto wanted = own.limiter().wanted(now_, random_between(1, 9));
+        // Also hosts that hold tokens request more.
+        const auto wanted = static_cast<double>(random_between(1, 9));
         for (const auto& keeper : own.keepers())
         {
-            if (wanted > 0 && random_below(2) == 0)
+            if (random_below(2) == 0)
             {
                 const auto id = own.requests().add(keeper, wanted, now_);
                 send({now_, number, number_of(keeper), false, wanted, id});
@@ -399,7 +404,7 @@
         {
             total_lent_ += static_cast<std::size_t>(answer->count);
             target.limiter().receive(answer->count, now_, answer->requested_at);
-            if (random_below(3) > 0)
+            if (is_busy() && random_below(3) > 0)
             {
                 serve(value.to);
             }
@@ -435,7 +440,7 @@
         [&]
         {
             fleet_simulation fleet(random_between(2, 9));
-            for (int step = 0; step < 1500; ++step)
+            for (int step = 0; step < 2500; ++step)
             {
                 fleet.step();
                 const auto in_window = fleet.taken_in_window();
