--- a/src/coordination/rate_limiter.cpp
+++ b/src/coordination/rate_limiter.cpp
@@ -371,13 +371,14 @@
 std::string rate_limiter::next_keeper(customer_state& state, time_point now)
 {
     update_keepers(state);
+    std::erase_if(
+        unresponsive_until_,
+        [now](const auto& entry) { return entry.second <= now; });
     for (std::size_t tried = 0; tried < state.keepers.size(); ++tried)
     {
         const auto& keeper =
             state.keepers[state.next_keeper++ % state.keepers.size()];
-        const auto silent = unresponsive_until_.find(keeper);
-        const bool answers =
-            silent == unresponsive_until_.end() || silent->second <= now;
+        const bool answers = !unresponsive_until_.contains(keeper);
         if (answers && !hosts_.address_of(keeper).empty())
         {
             return keeper;
