Reproduce the commit lost after registrations expired

A host that restarts while the registrations of the primary and of one replica are missing promotes the only replica that it sees, 0.2 s after it has taken the duty. The acknowledged commit that this replica lacks is lost.

--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -108,6 +108,13 @@
     store_.remove("servers/" + members_[index]->instance());
 }
 
+void hosted_platform::set_receiving(std::size_t index, bool value)
+{
+    const std::lock_guard lock(log_->mutex);
+    log_->members[members_[index]->instance()].deaf = !value;
+    log_->replicate_locked();
+}
+
 bool hosted_platform::promote(const std::string& instance)
 {
     const std::lock_guard lock(log_->mutex);
--- a/tests/support/hosted_platform.hpp
+++ b/tests/support/hosted_platform.hpp
@@ -57,6 +57,9 @@
     void register_member(std::size_t index, bool draining = false);
     void remove_member(std::size_t index);
 
+    /// @brief Whether a replica receives the primary's log.
+    void set_receiving(std::size_t index, bool value);
+
     /// @brief Makes a member the primary, as the platform does.
     /// @return false if the member is not running
     bool promote(const std::string& instance);
