Log what decides a promotion

The lines of a promotion did not say what the holder of the duty knew, so a lost commit could be explained only with a full log of the members.

failover_state and promotion_ordered now name the candidate, its last position, how many members are known, have answered and are paused, the last position among the paused, and the age of the oldest status used. replication_paused and replication_resumed are written when a status shows the change. duty_taken says how many members were known.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -73,6 +73,23 @@
 
 } // namespace failover_action
 
+/// @brief What a decision of the planner is based on, for logs.
+struct failover_summary
+{
+    /// Member that is to be promoted; empty if there is none.
+    std::string candidate;
+    log_position candidate_position;
+    std::size_t known = 0;
+    /// Members with a valid status.
+    std::size_t answered = 0;
+    /// Members whose replication is paused according to their valid status.
+    std::size_t paused = 0;
+    /// Last log position among the paused members.
+    log_position farthest_paused;
+    /// Age of the oldest valid status, counted from its query.
+    duration oldest_status{};
+};
+
 using failover_step = std::variant<
     failover_action::query, failover_action::pause_replication,
     failover_action::resume_replication, failover_action::order_promotion>;
@@ -162,6 +179,9 @@
         return reason_;
     }
 
+    /// @brief What the planner knows about the members, for logs.
+    failover_summary summary(time_point now) const;
+
 private:
     struct member_state
     {
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
 
 namespace zinniahub::coordination
 {
@@ -23,6 +24,16 @@
 /// Name under which status connections are opened.
 constexpr std::string_view control_customer = "zinniahub";
 
+std::string to_text(log_position position)
+{
+    return fmt::format("{}.{}", position.term, position.index);
+}
+
+std::int64_t to_ms(duration value)
+{
+    return value / std::chrono::milliseconds(1);
+}
+
 } // namespace
 
 /// Connection for status queries and pauses, with at most one call in
@@ -34,6 +45,8 @@
     bool busy = false;
     /// Command to send after the one in progress.
     std::optional<pooling::command> queued_command;
+    /// Term for which replication was last seen paused; 0 if it was not.
+    std::uint64_t paused_term = 0;
 };
 
 promotion_coordinator::promotion_coordinator(
@@ -147,7 +160,9 @@
     leader_ = settings_.host;
     services_.clear();
     events_.write(
-        "duty_taken", {{"lease", lease_id_}, {"revision", revision_}});
+        "duty_taken", {{"lease", lease_id_},
+                       {"revision", revision_},
+                       {"members", directory_.members().size()}});
 }
 
 awaitable<void> promotion_coordinator::renew_lease()
@@ -243,16 +258,48 @@
     {
         execute_step(definition.name, service, step);
     }
+    log_state_change(definition.name, service, now);
+}
+
+void promotion_coordinator::log_state_change(
+    const std::string& name, service_state& service, time_point now)
+{
     const auto state = service.planner.state();
-    if (state != service.last_state)
+    if (state == service.last_state)
     {
-        events_.write(
-            "failover_state", {{"service", definition.name},
-                               {"from", service.last_state},
-                               {"to", state},
-                               {"reason", service.planner.reason()}});
-        service.last_state = state;
+        return;
+    }
+    const auto basis = service.planner.summary(now);
+    events_.write(
+        "failover_state", {{"service", name},
+                           {"from", service.last_state},
+                           {"to", state},
+                           {"reason", service.planner.reason()},
+                           {"candidate", basis.candidate},
+                           {"position", to_text(basis.candidate_position)},
+                           {"known", basis.known},
+                           {"answered", basis.answered},
+                           {"paused", basis.paused},
+                           {"farthest_paused", to_text(basis.farthest_paused)},
+                           {"oldest_status_ms", to_ms(basis.oldest_status)}});
+    service.last_state = state;
+}
+
+void promotion_coordinator::log_replication(
+    const std::string& service, const std::string& instance,
+    member_control& control, const replication_status& status)
+{
+    if (status.paused_term == control.paused_term)
+    {
+        return;
     }
+    control.paused_term = status.paused_term;
+    events_.write(
+        status.paused_term > 0 ? "replication_paused" : "replication_resumed",
+        {{"service", service},
+         {"instance", instance},
+         {"term", status.paused_term},
+         {"received", to_text(status.received)}});
 }
 
 promotion_coordinator::member_control&
@@ -359,6 +406,7 @@
     control->link = std::move(link);
     if (answer && answer->ok() && answer->status_row)
     {
+        log_replication(service, instance, *control, *answer->status_row);
         state.planner.on_status(instance, *answer->status_row, sent_at, now);
     }
     else if (!answer)
@@ -412,6 +460,7 @@
     {
         co_return;
     }
+    const auto basis = services_[service].planner.summary(clock::now());
     errc code = token ? errc{} : token.error().code;
     if (token)
     {
@@ -434,7 +483,13 @@
          {"confirms", value.confirms_primary},
          {"token", token ? *token : 0},
          {"outcome", static_cast<int>(outcome)},
-         {"error", code == errc{} ? "" : to_string(code)}});
+         {"error", code == errc{} ? "" : to_string(code)},
+         {"position", to_text(basis.candidate_position)},
+         {"known", basis.known},
+         {"answered", basis.answered},
+         {"paused", basis.paused},
+         {"farthest_paused", to_text(basis.farthest_paused)},
+         {"oldest_status_ms", to_ms(basis.oldest_status)}});
     const auto found = services_.find(service);
     if (found != services_.end() && epoch == lease_.epoch())
     {
--- a/src/coordination/promotion_coordinator.hpp
+++ b/src/coordination/promotion_coordinator.hpp
@@ -99,6 +99,12 @@
     /// Ends the lease at once, so that another host can acquire the duty.
     awaitable<void> release_leadership(std::string_view reason);
     awaitable<void> run_planner();
+    void log_state_change(
+        const std::string& name, service_state& service, time_point now);
+    /// Logs that a member has paused or resumed replication.
+    void log_replication(
+        const std::string& service, const std::string& instance,
+        member_control& control, const replication_status& status);
     void plan_service(
         const service_definition& definition, service_state& service,
         time_point now);
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -28,6 +28,35 @@
     return "unknown";
 }
 
+failover_summary failover_planner::summary(time_point now) const
+{
+    failover_summary result;
+    result.known = members_.size();
+    const auto* candidate = choose_candidate(now);
+    if (candidate != nullptr)
+    {
+        result.candidate = candidate->definition.instance;
+        result.candidate_position = candidate->status->received;
+    }
+    for (const auto& [instance, member] : members_)
+    {
+        if (!is_fresh(member, now))
+        {
+            continue;
+        }
+        ++result.answered;
+        result.oldest_status =
+            std::max(result.oldest_status, now - member.queried_at);
+        if (member.status->paused_term > primary_term_)
+        {
+            ++result.paused;
+            result.farthest_paused =
+                std::max(result.farthest_paused, member.status->received);
+        }
+    }
+    return result;
+}
+
 void failover_planner::reset()
 {
     members_.clear();
