Plan promotions on a durable replication group

Callers lost acknowledged commits after an outage of the store in which registrations expired and all hosts restarted: a host that took the duty saw one registered replica and no primary, and promoted it 0.1 s later, although the primary and the replica with the commits were running.

The planner's members were those that happened to be registered. The holder now records the replication group of each service in the store (members, addresses, primary, term, whether it is complete), with the holder's key as a precondition. A new holder reads the records after it has written its key, so that no earlier holder can change them, and asks members that are not registered at their recorded addresses. Without a complete record a primary that it has never seen is replaced only after the group has answered unchanged for 5 s.

The guess from registrations is replaced by the record, so the tests of the new holder now start from the record: the same steps and the same expectations. The missing primary in the random test is recorded at random times instead of registered.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -26,17 +26,18 @@
     std::uint64_t paused_term = 0;
 };
 
-/// @brief Registration data of a member that the planner uses.
+/// @brief A member of the replication group of a service.
 struct replication_member
 {
     std::string instance;
     /// Must not become or remain the primary.
     bool leaving = false;
-    /// The registration names this member as the primary.
-    bool registered_primary = false;
     /// The member announced its shutdown, and its registration has disappeared.
     /// It has either exited, and its log is gone, or is unreachable.
     bool shutdown_announced = false;
+    /// The registration has disappeared, and another member has the address:
+    /// the member has exited.
+    bool replaced = false;
 };
 
 namespace failover_action
@@ -114,6 +115,11 @@
 /// return, unless the replica announced its shutdown and its address refuses
 /// connections.
 ///
+/// A host that acquires the duty starts from the durable record of the
+/// replication group. Without a complete record it cannot know the whole group;
+/// it then replaces a primary that it has never seen only after all others that
+/// it knows have answered for some time and none is the primary.
+///
 /// A paused replica resumes only after an order that confirms the current
 /// primary, because an earlier order may still be executed.
 /// All functions are linear in the number of members.
@@ -139,6 +145,11 @@
         duration stall_limit = std::chrono::milliseconds(900);
         /// Time after which an order that had no effect is repeated.
         duration promotion_retry_interval = std::chrono::milliseconds(2000);
+        /// Time for which an incomplete group must answer unchanged, without a
+        /// primary, before a member is promoted. Registrations that expired
+        /// during an outage of the store return within three heartbeats and
+        /// two seconds.
+        duration incomplete_group_delay = std::chrono::milliseconds(5000);
     };
 
     explicit failover_planner(settings values)
@@ -146,6 +157,13 @@
     {
     }
 
+    /// @brief Starts from the durable record of the group: the primary that it
+    /// names, which may be outdated, and its term. Call after `reset`.
+    /// @param complete false if there may be members that are not known
+    void on_record(std::string_view primary, std::uint64_t term, bool complete);
+
+    /// @param members the whole group, including members that are registered
+    /// no longer
     /// @param sync_replicas number of replicas that must receive a commit
     /// before it is acknowledged
     void on_members(
@@ -170,6 +188,22 @@
     /// lost.
     void reset();
 
+    /// @brief Member that was last known to be the primary from its own status;
+    /// empty if there is none.
+    std::string_view known_primary() const
+    {
+        return primary_from_record_ ? std::string_view{} : primary_;
+    }
+    std::uint64_t known_term() const
+    {
+        return primary_term_;
+    }
+
+    /// @brief Members that have exited and whose logs are no longer needed: a
+    /// remaining replica has every commit that was acknowledged before the end
+    /// was known, or a later term has begun.
+    std::vector<std::string> retired_members() const;
+
     /// @brief Name of the state for logs: "steady", "changing" or "restoring".
     std::string_view state() const;
 
@@ -193,6 +227,12 @@
         /// Time of the first failed query since the last status.
         std::optional<time_point> unresponsive_since;
         std::optional<time_point> refused_since;
+        /// Time at which the end of the member became known.
+        std::optional<time_point> ended_at;
+        /// Highest known term at that time.
+        std::uint64_t ended_in_term = 0;
+        /// Position of the primary after that time.
+        std::optional<log_position> needed_position;
         time_point next_query = time_point::min();
         time_point next_replication_request = time_point::min();
     };
@@ -202,7 +242,9 @@
     /// True if the member has exited and its log is gone.
     static bool has_shut_down(const member_state& member);
     const member_state* current_primary(time_point now) const;
-    void adopt_registered_primary();
+    void update_ended_members(time_point now);
+    void update_incomplete_group(time_point now);
+    bool no_member_is_primary(time_point now) const;
     std::uint64_t newest_term() const;
     void query_members(std::vector<failover_step>& steps, time_point now);
     bool needs_failover(time_point now);
@@ -231,8 +273,13 @@
     /// Member that was last known to be the primary, and its term.
     std::string primary_;
     std::uint64_t primary_term_ = 0;
-    /// True if `primary_` is known only from its registration.
-    bool primary_from_registration_ = false;
+    /// True if `primary_` is known only from the record of the group.
+    bool primary_from_record_ = false;
+    /// False if the group may have members that are not known.
+    bool group_complete_ = false;
+    /// Time since which all members of the group have answered and none is the
+    /// primary. A primary that is known from the record need not answer.
+    std::optional<time_point> without_primary_since_;
     std::optional<time_point> stalled_since_;
     /// Highest known term at the start of the failover; the new primary's term
     /// must be greater.
--- a/include/zinniahub/upstream_directory.hpp
+++ b/include/zinniahub/upstream_directory.hpp
@@ -104,6 +104,11 @@
     /// @brief True while statements of open operations may be sent.
     bool
     accepts_open_operations(const upstream_state& member, time_point now) const;
+    /// @brief True while the member's registration exists.
+    bool is_registered(std::string_view instance) const;
+    /// @brief True if a registered member has the address. A member without a
+    /// registration that had it has exited.
+    bool is_address_used(std::string_view address) const;
     /// @brief True if the member's registration is missing and another member
     /// has its address, which shows that the member has exited.
     bool was_replaced(const upstream_state& member) const;
--- a/src/coordination/promotion_coordinator.hpp
+++ b/src/coordination/promotion_coordinator.hpp
@@ -7,6 +7,7 @@
 #include <zinniahub/failover_planner.hpp>
 #include <zinniahub/lease.hpp>
 #include <zinniahub/proxy_configuration.hpp>
+#include <zinniahub/replication_group.hpp>
 #include <zinniahub/upstream_directory.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -15,6 +16,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace zinniahub::coordination
 {
@@ -26,6 +28,11 @@
 /// have expired. The fencing token is the revision of a write to that key. An
 /// order that names another member than the one before gets a higher token, so
 /// that the platform refuses the earlier order if it is carried out late.
+///
+/// The holder records the replication group of each service in the store. A
+/// write expects the holder's key unchanged, so that only the present holder
+/// can change a record, and a new holder plans only after it has read the
+/// records: members whose registrations are missing are not forgotten.
 class promotion_coordinator
 {
 public:
@@ -86,6 +93,9 @@
         failover_planner planner{failover_planner::settings{}};
         std::map<std::string, std::unique_ptr<member_control>, std::less<>>
             members;
+        replication_group_tracker group;
+        bool recording = false;
+        time_point next_record = time_point::min();
         std::string last_state = "steady";
         /// Fencing token and member of the last order.
         std::uint64_t fencing_token = 0;
@@ -98,6 +108,15 @@
     void on_leadership_lost(std::string_view reason);
     /// Ends the lease at once, so that another host can acquire the duty.
     awaitable<void> release_leadership(std::string_view reason);
+    awaitable<void> load_groups();
+    void load_group(const stored_item& item);
+    awaitable<void> record_group(std::string service);
+    /// Takes the registrations and the planner's knowledge into the group.
+    void update_group(
+        const service_definition& definition, service_state& service,
+        time_point now);
+    std::vector<replication_member>
+    planner_members(const replication_group& group) const;
     awaitable<void> run_planner();
     void log_state_change(
         const std::string& name, service_state& service, time_point now);
@@ -135,6 +154,8 @@
     std::string leader_;
     std::uint64_t revision_ = 0;
     time_point vacant_since_ = never;
+    /// True if the records were read after the duty was taken.
+    bool groups_loaded_ = false;
     std::uint64_t orders_sent_ = 0;
     bool leaving_ = false;
     bool eligible_ = true;
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -63,13 +63,24 @@
     phase_ = phase::steady;
     primary_.clear();
     primary_term_ = 0;
-    primary_from_registration_ = false;
+    primary_from_record_ = false;
+    group_complete_ = false;
+    without_primary_since_.reset();
     stalled_since_.reset();
     promotion_target_.clear();
     promotion_pending_ = false;
     primary_confirmed_ = false;
 }
 
+void failover_planner::on_record(
+    std::string_view primary, std::uint64_t term, bool complete)
+{
+    group_complete_ = complete;
+    primary_ = primary;
+    primary_term_ = term;
+    primary_from_record_ = true;
+}
+
 void failover_planner::on_members(
     const std::vector<replication_member>& members, std::uint32_t sync_replicas)
 {
@@ -85,38 +96,11 @@
         });
     for (const auto& member : members)
     {
-        members_[member.instance].definition = member;
-    }
-    adopt_registered_primary();
-}
-
-// A host that acquires the promotion duty while the primary is unreachable has
-// never received the primary's status, so it starts from the registration.
-void failover_planner::adopt_registered_primary()
-{
-    if (!primary_.empty() && !primary_from_registration_)
-    {
-        return;
-    }
-    primary_.clear();
-    primary_from_registration_ = false;
-    const member_state* found = nullptr;
-    for (const auto& [instance, member] : members_)
-    {
-        if (member.definition.registered_primary)
+        if (!members_.contains(member.instance))
         {
-            if (found != nullptr)
-            {
-                return;
-            }
-            found = &member;
+            without_primary_since_.reset();
         }
-    }
-    // The status of a member takes precedence over its registration.
-    if (found != nullptr && !found->status)
-    {
-        primary_ = found->definition.instance;
-        primary_from_registration_ = true;
+        members_[member.instance].definition = member;
     }
 }
 
@@ -135,16 +119,16 @@
     member.status_at = now;
     member.unresponsive_since.reset();
     member.refused_since.reset();
-    if (primary_from_registration_ && instance == primary_)
+    if (primary_from_record_ && instance == primary_)
     {
         primary_.clear();
-        primary_from_registration_ = false;
+        primary_from_record_ = false;
     }
     if (status.primary && status.term >= primary_term_)
     {
         primary_ = found->first;
         primary_term_ = status.term;
-        primary_from_registration_ = false;
+        primary_from_record_ = false;
     }
 }
 
@@ -195,8 +179,58 @@
 
 bool failover_planner::has_shut_down(const member_state& member)
 {
-    return member.definition.shutdown_announced &&
-           member.refused_since.has_value();
+    return member.definition.replaced ||
+           (member.definition.shutdown_announced &&
+            member.refused_since.has_value());
+}
+
+void failover_planner::update_ended_members(time_point now)
+{
+    const auto* primary = current_primary(now);
+    for (auto& [instance, member] : members_)
+    {
+        if (!has_shut_down(member))
+        {
+            member.ended_at.reset();
+            member.needed_position.reset();
+            continue;
+        }
+        if (!member.ended_at)
+        {
+            member.ended_at = now;
+            member.ended_in_term = newest_term();
+        }
+        if (!member.needed_position && primary != nullptr &&
+            primary->queried_at > *member.ended_at)
+        {
+            member.needed_position = primary->status->received;
+        }
+    }
+}
+
+std::vector<std::string> failover_planner::retired_members() const
+{
+    log_position farthest;
+    for (const auto& [instance, member] : members_)
+    {
+        if (instance != primary_ && member.status && !has_shut_down(member))
+        {
+            farthest = std::max(farthest, member.status->received);
+        }
+    }
+    std::vector<std::string> retired;
+    for (const auto& [instance, member] : members_)
+    {
+        const bool later_term = member.ended_at && !primary_from_record_ &&
+                                primary_term_ > member.ended_in_term;
+        const bool covered =
+            member.needed_position && farthest >= *member.needed_position;
+        if (instance != primary_ && (later_term || covered))
+        {
+            retired.push_back(instance);
+        }
+    }
+    return retired;
 }
 
 std::uint64_t failover_planner::newest_term() const
@@ -233,6 +267,10 @@
                                                   : settings_.urgent_interval;
     for (auto& [instance, member] : members_)
     {
+        if (member.definition.replaced)
+        {
+            continue;
+        }
         const bool is_primary = instance == primary_;
         const bool urgent = is_primary && member.unresponsive_since;
         auto delay = urgent ? settings_.urgent_interval : interval;
@@ -248,32 +286,49 @@
     }
 }
 
+bool failover_planner::no_member_is_primary(time_point now) const
+{
+    return !members_.empty() &&
+           std::all_of(
+               members_.begin(), members_.end(),
+               [this, now](const auto& entry)
+               {
+                   const auto& member = entry.second;
+                   const bool presumed_lost = primary_from_record_ &&
+                                              entry.first == primary_ &&
+                                              !is_fresh(member, now);
+                   return presumed_lost || has_shut_down(member) ||
+                          (is_fresh(member, now) && !member.status->primary);
+               });
+}
+
+void failover_planner::update_incomplete_group(time_point now)
+{
+    if (!no_member_is_primary(now))
+    {
+        without_primary_since_.reset();
+    }
+    else if (!without_primary_since_)
+    {
+        without_primary_since_ = now;
+    }
+}
+
 bool failover_planner::primary_is_lost(time_point now) const
 {
+    const bool group_is_known =
+        group_complete_ ||
+        (without_primary_since_ &&
+         now - *without_primary_since_ >= settings_.incomplete_group_delay);
     const auto found = members_.find(primary_);
-    if (found == members_.end())
+    if (found == members_.end() || found->second.definition.replaced)
     {
-        // No primary is known, or its registration was removed: the primary is
-        // lost only if every member reports that it is not the primary.
-        return !members_.empty() &&
-               std::all_of(
-                   members_.begin(), members_.end(),
-                   [this, now](const auto& entry)
-                   {
-                       return has_shut_down(entry.second) ||
-                              (is_fresh(entry.second, now) &&
-                               !entry.second.status->primary);
-                   });
+        // No primary is known, or it has exited: the primary is lost only if
+        // every member reports that it is not the primary.
+        return group_is_known && no_member_is_primary(now);
     }
     const auto& member = found->second;
-    const bool others_responded = std::all_of(
-        members_.begin(), members_.end(),
-        [this, now](const auto& entry)
-        {
-            return entry.first == primary_ || has_shut_down(entry.second) ||
-                   is_fresh(entry.second, now);
-        });
-    if (primary_from_registration_ && !others_responded)
+    if (primary_from_record_ && !(group_is_known && no_member_is_primary(now)))
     {
         return false;
     }
@@ -461,6 +516,8 @@
 {
     std::vector<failover_step> steps;
     query_members(steps, now);
+    update_ended_members(now);
+    update_incomplete_group(now);
     if (phase_ == phase::steady)
     {
         const auto* primary = current_primary(now);
--- a/src/lib/upstream_directory.cpp
+++ b/src/lib/upstream_directory.cpp
@@ -89,16 +89,27 @@
         });
 }
 
+bool upstream_directory::is_registered(std::string_view instance) const
+{
+    const auto found = members_.find(instance);
+    return found != members_.end() && found->second.missing_since == never;
+}
+
+bool upstream_directory::is_address_used(std::string_view address) const
+{
+    return std::any_of(
+        members_.begin(), members_.end(),
+        [address](const auto& entry)
+        {
+            return entry.second.missing_since == never &&
+                   entry.second.record.address == address;
+        });
+}
+
 bool upstream_directory::was_replaced(const upstream_state& member) const
 {
     return member.missing_since != never &&
-           std::any_of(
-               members_.begin(), members_.end(),
-               [&member](const auto& entry)
-               {
-                   return entry.second.missing_since == never &&
-                          entry.second.record.address == member.record.address;
-               });
+           is_address_used(member.record.address);
 }
 
 bool upstream_directory::accepts_new_operations(
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -47,29 +47,37 @@
         std::vector<replication_member> known;
         for (const auto& [name, state] : members_)
         {
+            if (unknown_.contains(name))
+            {
+                continue;
+            }
             known.push_back(
-                {name, leaving_.contains(name),
-                 registered_primaries_.contains(name),
-                 shutting_down_.contains(name)});
+                {.instance = name,
+                 .leaving = leaving_.contains(name),
+                 .shutdown_announced = shutting_down_.contains(name)});
         }
         planner_.on_members(known, 1);
     }
 
-    /// Updates the registered role of a member that can reach the store.
-    void register_member(const std::string& name)
+    /// Records the primary that the holder of the duty knows.
+    void record_primary()
     {
-        registered_primaries_.erase(name);
-        if (members_[name].primary)
+        if (!planner_.known_primary().empty())
         {
-            registered_primaries_.insert(name);
+            recorded_primary_ = planner_.known_primary();
+            recorded_term_ = planner_.known_term();
         }
-        update_planner();
     }
 
-    /// Moves the promotion duty to a host that knows only the registrations.
+    /// Moves the promotion duty to a host that knows only the durable record.
     void transfer_duty()
     {
         planner_.reset();
+        if (!recorded_primary_.empty())
+        {
+            planner_.on_record(
+                recorded_primary_, recorded_term_, record_complete_);
+        }
         update_planner();
     }
 
@@ -237,7 +245,12 @@
 
     std::map<std::string, member> members_;
     std::set<std::string> leaving_;
-    std::set<std::string> registered_primaries_{"a"};
+    /// Members that the holder of the duty does not know.
+    std::set<std::string> unknown_;
+    /// Durable record of the primary; empty if there is none.
+    std::string recorded_primary_ = "a";
+    std::uint64_t recorded_term_ = 1;
+    bool record_complete_ = true;
     /// Members that announced their shutdown and whose registration is
     /// missing.
     std::set<std::string> shutting_down_;
@@ -402,9 +415,9 @@
     EXPECT_FALSE(model.commit_lost_);
 }
 
-// Guards against a promotion based on an outdated registration while the actual
+// Guards against a promotion based on an outdated record while the actual
 // primary responds or another member is unreachable.
-TEST(failover_planner, new_duty_holder_ignores_an_outdated_registration)
+TEST(failover_planner, new_duty_holder_ignores_an_outdated_record)
 {
     service_model model;
     model.members_["a"].primary = false;
@@ -419,6 +432,67 @@
     EXPECT_EQ(model.orders_, 0U);
 }
 
+// Guards against a promotion by a new duty holder without a record, which sees
+// a part of the group while registrations are missing.
+TEST(failover_planner, promotes_late_without_a_record)
+{
+    service_model model;
+    model.recorded_primary_.clear();
+    model.not_replicating_ = {"b"};
+    model.commit();
+    model.unknown_ = {"a", "c"};
+    model.transfer_duty();
+    model.run(4500ms);
+    EXPECT_EQ(model.orders_, 0U);
+    model.unknown_ = {"a"};
+    model.update_planner();
+    model.run(4500ms);
+    EXPECT_EQ(model.orders_, 0U);
+    model.members_["a"].running = false;
+    model.run(2s);
+    EXPECT_EQ(model.primary_name(), "c");
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against a promotion by a new duty holder whose record may lack a
+// member, and against a crashed primary that is then never replaced.
+TEST(failover_planner, promotes_late_with_an_incomplete_record)
+{
+    service_model model;
+    model.record_complete_ = false;
+    model.unknown_ = {"c"};
+    model.not_replicating_ = {"b"};
+    model.commit();
+    model.members_["a"].running = false;
+    model.transfer_duty();
+    model.run(4500ms);
+    EXPECT_EQ(model.orders_, 0U);
+    model.unknown_.clear();
+    model.update_planner();
+    model.run(6s);
+    EXPECT_EQ(model.primary_name(), "c");
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against a member that is forgotten while its log may be needed, and
+// against one that is kept for ever after it has exited.
+TEST(failover_planner, retires_an_exited_member_whose_log_is_covered)
+{
+    service_model model;
+    model.run(1s);
+    model.not_replicating_ = {"b"};
+    model.commit();
+    model.leaving_ = {"c"};
+    model.shutting_down_ = {"c"};
+    model.members_["c"].running = false;
+    model.update_planner();
+    model.run(700ms);
+    EXPECT_TRUE(model.planner_.retired_members().empty());
+    model.not_replicating_.clear();
+    model.run(2s);
+    EXPECT_EQ(model.planner_.retired_members(), std::vector<std::string>{"c"});
+}
+
 // Guards against replicas that stay paused after the primary returns.
 TEST(failover_planner, releases_replicas_when_the_primary_is_back)
 {
@@ -491,10 +565,7 @@
                     model.transfer_duty();
                     break;
                 case 7:
-                    if (state.running && !state.unreachable)
-                    {
-                        model.register_member(name);
-                    }
+                    model.record_primary();
                     break;
                 default:
                     model.commit();
