Keep the candidate of a promotion and stop a deaf primary

Callers lost acknowledged commits during a planned replacement: the candidate changed with each status, so that all replicas were paused and commits waited at the primary. A replica that started then was unknown to the holder for up to 1.1 s and acknowledged them, and the candidate was promoted without them. The same happened when the replicas received nothing and an order without an answer was carried out late.

The candidate is now chosen once per change and kept until it is unfit, and goes on receiving while the primary answers. If an earlier holder has paused all replicas, they are resumed first, after an order that confirms the primary. Before the order, a primary whose candidate receives nothing steps down, and so does one whose order got no answer, as soon as the other replicas are paused: nothing is acknowledged after the decision. Replicas that appear are paused at once, also while an order is pending; the follower of the members does not batch during a change, the first order comes 0.3 s after its start while the primary answers, and the order is checked again after its token was written. Statuses that justify an order are at most 0.4 s old (was 1.2 s). A paused replica that stays ahead of the candidate of a silent primary replaces it, but is not resumed: orders of an earlier holder may still be carried out.

The new tests were written after the code.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -62,6 +62,13 @@
     std::string instance;
 };
 
+/// Make the primary a replica. It acknowledges no further commit.
+struct step_down
+{
+    std::string instance;
+    std::uint64_t term;
+};
+
 /// Request the platform to promote a member, with a fencing token greater than
 /// all earlier ones.
 struct order_promotion
@@ -93,7 +100,8 @@
 
 using failover_step = std::variant<
     failover_action::query, failover_action::pause_replication,
-    failover_action::resume_replication, failover_action::order_promotion>;
+    failover_action::resume_replication, failover_action::step_down,
+    failover_action::order_promotion>;
 
 enum class promotion_result
 {
@@ -109,11 +117,15 @@
 /// An acknowledged commit is in the log of the primary and of at least one
 /// replica. Before a promotion, every replica except the candidate must pause
 /// replication, so that no further commit can be acknowledged without the
-/// candidate. The candidate is promoted only if its log reaches at least as far
-/// as the logs of the paused replicas. An unreachable replica may hold the only
-/// copy of a commit; the planner then waits for the replica or the primary to
-/// return, unless the replica announced its shutdown and its address refuses
-/// connections.
+/// candidate. The candidate is chosen once per failover and goes on receiving
+/// while the primary may commit. It is promoted only if its log reaches at
+/// least as far as the logs of the paused replicas. A replica that starts in
+/// the meantime is paused as soon as it is known; until then it may acknowledge
+/// commits of a primary whose candidate receives nothing, or while the result
+/// of an order is unknown, so such a primary steps down first. An unreachable
+/// replica may hold the only copy of a commit; the planner then waits for the
+/// replica or the primary to return, unless the replica announced its shutdown
+/// and its address refuses connections.
 ///
 /// A host that acquires the duty starts from the durable record of the
 /// replication group. Without a complete record it cannot know the whole group;
@@ -143,6 +155,14 @@
         /// Time without any replica receiving the primary's latest entries
         /// after which the primary is replaced.
         duration stall_limit = std::chrono::milliseconds(900);
+        /// Time for which the candidate must fall behind the primary, or
+        /// behind a paused replica, before the planner acts on it.
+        duration behind_limit = std::chrono::milliseconds(200);
+        /// Largest age of a status that justifies an order.
+        duration order_status_age = std::chrono::milliseconds(400);
+        /// Time between the start of a failover and the first order while the
+        /// primary responds; replicas that have just started become known.
+        duration order_delay = std::chrono::milliseconds(300);
         /// Time after which an order that had no effect is repeated.
         duration promotion_retry_interval = std::chrono::milliseconds(2000);
         /// Time for which an incomplete group must answer unchanged, without a
@@ -184,6 +204,13 @@
     /// @brief Returns the next steps. Call at least every 50 ms.
     std::vector<failover_step> on_tick(time_point now);
 
+    /// @brief True while the order that `on_tick` returned last is justified.
+    /// Call again before it is sent, after a call of the store.
+    bool is_order_justified(std::string_view instance, time_point now) const;
+
+    /// @brief True while changes of the members must be learned without delay.
+    bool is_urgent() const;
+
     /// @brief Clears all state. Call when the promotion duty is acquired or
     /// lost.
     void reset();
@@ -221,6 +248,8 @@
     {
         replication_member definition;
         std::optional<replication_status> status;
+        /// Position received according to the status before the last.
+        log_position earlier_received;
         /// Time at which the query for the last status was sent.
         time_point queried_at = time_point::min();
         time_point status_at = time_point::min();
@@ -250,11 +279,25 @@
     bool needs_failover(time_point now);
     bool primary_is_lost(time_point now) const;
     bool primary_is_stalled(const member_state& primary, time_point now);
+    bool is_paused(const member_state& member) const;
     const member_state* choose_candidate(time_point now) const;
+    const member_state* find_candidate(time_point now) const;
+    bool candidate_is_unfit(time_point now) const;
+    bool a_paused_replica_is_ahead(const member_state& candidate) const;
+    /// Keeps or replaces the candidate.
+    const member_state* update_candidate(bool primary_responds, time_point now);
+    void start_failover(time_point now);
     void continue_failover(std::vector<failover_step>& steps, time_point now);
-    bool pause_other_replicas(
-        std::vector<failover_step>& steps, const member_state& candidate,
+    bool is_other_replica(
+        const member_state& member, std::string_view candidate) const;
+    void
+    pause_other_replicas(std::vector<failover_step>& steps, time_point now);
+    bool other_replicas_are_paused(
+        const member_state& candidate, time_point now) const;
+    bool must_step_down(
+        const member_state& primary, const member_state& candidate,
         time_point now);
+    void start_restoring(time_point now);
     void resume_replicas(std::vector<failover_step>& steps, time_point now);
 
     enum class phase
@@ -284,8 +327,17 @@
     /// Highest known term at the start of the failover; the new primary's term
     /// must be greater.
     std::uint64_t previous_term_ = 0;
-    /// Member to promote in the last order of this failover.
-    std::string promotion_target_;
+    time_point failover_started_at_ = time_point::min();
+    /// Member to promote.
+    std::string candidate_;
+    /// Time since which a paused replica is ahead of the candidate.
+    std::optional<time_point> candidate_behind_since_;
+    /// Time since which the candidate does not receive the primary's entries.
+    std::optional<time_point> candidate_deaf_since_;
+    time_point next_step_down_ = time_point::min();
+    /// True if an order was sent in this failover.
+    bool order_sent_ = false;
+    bool order_unknown_ = false;
     time_point next_promotion_ = time_point::min();
     bool promotion_pending_ = false;
     bool primary_confirmed_ = false;
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace zinniahub::coordination
 {
 
@@ -298,6 +300,14 @@
     services_.clear();
 }
 
+bool promotion_coordinator::is_urgent() const
+{
+    return lease_id_ != 0 && std::any_of(
+                                 services_.begin(), services_.end(),
+                                 [](const auto& entry)
+                                 { return entry.second.planner.is_urgent(); });
+}
+
 awaitable<void> promotion_coordinator::stop()
 {
     leaving_ = true;
@@ -481,6 +491,17 @@
         instance = release->instance;
         command = {.kind = pooling::command_kind::resume};
     }
+    else if (
+        const auto* demotion = std::get_if<failover_action::step_down>(&step))
+    {
+        instance = demotion->instance;
+        command = {
+            .kind = pooling::command_kind::step_down, .term = demotion->term};
+        events_.write(
+            "step_down_requested", {{"service", name},
+                                    {"instance", instance},
+                                    {"term", demotion->term}});
+    }
     auto& control = member_control_for(service, instance);
     if (control.busy)
     {
@@ -599,6 +620,14 @@
     {
         co_return;
     }
+    auto& planner = services_[service].planner;
+    if (!value.confirms_primary &&
+        !planner.is_order_justified(value.instance, clock::now()))
+    {
+        // The members changed while the token was written.
+        planner.on_promotion_result(promotion_result::refused, clock::now());
+        co_return;
+    }
     const auto basis = services_[service].planner.summary(clock::now());
     errc code = token ? errc{} : token.error().code;
     if (token)
--- a/src/coordination/promotion_coordinator.hpp
+++ b/src/coordination/promotion_coordinator.hpp
@@ -78,6 +78,8 @@
     {
         return lease_id_ != 0 && lease_.is_valid(now);
     }
+    /// @brief True while changes of the members must be learned without delay.
+    bool is_urgent() const;
     std::uint64_t orders_sent() const
     {
         return orders_sent_;
--- a/src/coordination/store_follower.cpp
+++ b/src/coordination/store_follower.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -35,9 +36,27 @@
     , settings_(std::move(values))
     , handlers_(std::move(callbacks))
     , events_(events)
+    , batch_timer_(io)
 {
 }
 
+void store_follower::set_prompt(bool prompt)
+{
+    if (prompt && !prompt_)
+    {
+        batch_timer_.cancel();
+    }
+    prompt_ = prompt;
+}
+
+awaitable<void> store_follower::wait_for_batch()
+{
+    batch_timer_.expires_after(settings_.batch_delay);
+    boost::system::error_code ignored;
+    co_await batch_timer_.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 void store_follower::start()
 {
     asio::co_spawn(io_, follow(), asio::detached);
@@ -130,9 +149,9 @@
             continue;
         }
         listed = co_await watch();
-        if (listed && settings_.batch_delay > duration::zero())
+        if (listed && !prompt_ && settings_.batch_delay > duration::zero())
         {
-            co_await sleep(settings_.batch_delay);
+            co_await wait_for_batch();
         }
     }
 }
--- a/src/coordination/store_follower.hpp
+++ b/src/coordination/store_follower.hpp
@@ -4,6 +4,7 @@
 #include "observability/event_log.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <string>
@@ -45,6 +46,9 @@
     /// @brief Follows until the io_context ends.
     void start();
 
+    /// @brief While prompt, the follower does not batch changes.
+    void set_prompt(bool prompt);
+
     /// @brief Last time at which the copy was up to date; min() before the
     /// first listing.
     time_point synced_at() const
@@ -57,6 +61,7 @@
     awaitable<bool> list();
     awaitable<bool> watch();
     awaitable<void> sleep(duration length);
+    awaitable<void> wait_for_batch();
     void on_failure(const error& failure);
     void on_success(time_point asked_at);
 
@@ -68,6 +73,9 @@
     std::uint64_t revision_ = 0;
     time_point synced_at_ = time_point::min();
     unsigned failures_ = 0;
+    bool prompt_ = false;
+    /// Runs during the pause between two watch calls.
+    boost::asio::steady_timer batch_timer_;
 };
 
 } // namespace zinniahub::coordination
--- /dev/null
+++ b/src/lib/failover_members.cpp
@@ -0,0 +1,240 @@
+#include <zinniahub/failover_planner.hpp>
+
+#include <algorithm>
+
+// Knowledge of the failover planner about the members of a service.
+
+namespace zinniahub
+{
+
+failover_summary failover_planner::summary(time_point now) const
+{
+    failover_summary result;
+    result.known = members_.size();
+    const auto* candidate =
+        candidate_.empty() ? choose_candidate(now) : find_candidate(now);
+    if (candidate != nullptr)
+    {
+        result.candidate = candidate->definition.instance;
+        result.candidate_position = candidate->status->received;
+    }
+    for (const auto& [instance, member] : members_)
+    {
+        if (!is_fresh(member, now))
+        {
+            continue;
+        }
+        ++result.answered;
+        result.oldest_status =
+            std::max(result.oldest_status, now - member.queried_at);
+        if (is_paused(member))
+        {
+            ++result.paused;
+            result.farthest_paused =
+                std::max(result.farthest_paused, member.status->received);
+        }
+    }
+    return result;
+}
+
+void failover_planner::reset()
+{
+    members_.clear();
+    phase_ = phase::steady;
+    primary_.clear();
+    primary_term_ = 0;
+    primary_from_record_ = false;
+    group_complete_ = false;
+    without_primary_since_.reset();
+    stalled_since_.reset();
+    candidate_.clear();
+    order_sent_ = false;
+    order_unknown_ = false;
+    promotion_pending_ = false;
+    primary_confirmed_ = false;
+}
+
+void failover_planner::on_record(
+    std::string_view primary, std::uint64_t term, bool complete)
+{
+    group_complete_ = complete;
+    primary_ = primary;
+    primary_term_ = term;
+    primary_from_record_ = true;
+}
+
+void failover_planner::on_members(
+    const std::vector<replication_member>& members, std::uint32_t sync_replicas)
+{
+    sync_replicas_ = sync_replicas;
+    std::erase_if(
+        members_,
+        [&members](const auto& entry)
+        {
+            return std::none_of(
+                members.begin(), members.end(),
+                [&entry](const auto& member)
+                { return member.instance == entry.first; });
+        });
+    for (const auto& member : members)
+    {
+        if (!members_.contains(member.instance))
+        {
+            without_primary_since_.reset();
+        }
+        members_[member.instance].definition = member;
+    }
+}
+
+void failover_planner::on_status(
+    std::string_view instance, const replication_status& status,
+    time_point sent_at, time_point now)
+{
+    const auto found = members_.find(instance);
+    if (found == members_.end() || sent_at < found->second.queried_at)
+    {
+        return;
+    }
+    auto& member = found->second;
+    member.earlier_received =
+        member.status ? member.status->received : status.received;
+    member.status = status;
+    member.queried_at = sent_at;
+    member.status_at = now;
+    member.unresponsive_since.reset();
+    member.refused_since.reset();
+    if (primary_from_record_ && instance == primary_)
+    {
+        primary_.clear();
+        primary_from_record_ = false;
+    }
+    if (status.primary && status.term >= primary_term_)
+    {
+        primary_ = found->first;
+        primary_term_ = status.term;
+        primary_from_record_ = false;
+    }
+}
+
+void failover_planner::on_no_status(
+    std::string_view instance, bool refused, time_point now)
+{
+    const auto found = members_.find(instance);
+    if (found == members_.end())
+    {
+        return;
+    }
+    auto& member = found->second;
+    if (!member.unresponsive_since)
+    {
+        member.unresponsive_since = now;
+    }
+    if (refused && !member.refused_since)
+    {
+        member.refused_since = now;
+    }
+}
+
+bool failover_planner::is_fresh(
+    const member_state& member, time_point now) const
+{
+    return member.status && !member.unresponsive_since &&
+           now - member.queried_at <= settings_.status_validity;
+}
+
+bool failover_planner::has_shut_down(const member_state& member)
+{
+    return member.definition.replaced ||
+           (member.definition.shutdown_announced &&
+            member.refused_since.has_value());
+}
+
+void failover_planner::update_ended_members(time_point now)
+{
+    const auto* primary = current_primary(now);
+    for (auto& [instance, member] : members_)
+    {
+        if (!has_shut_down(member))
+        {
+            member.ended_at.reset();
+            member.needed_position.reset();
+            continue;
+        }
+        if (!member.ended_at)
+        {
+            member.ended_at = now;
+            member.ended_in_term = newest_term();
+        }
+        if (!member.needed_position && primary != nullptr &&
+            primary->queried_at > *member.ended_at)
+        {
+            member.needed_position = primary->status->received;
+        }
+    }
+}
+
+std::vector<std::string> failover_planner::retired_members() const
+{
+    log_position farthest;
+    for (const auto& [instance, member] : members_)
+    {
+        if (instance != primary_ && member.status && !has_shut_down(member))
+        {
+            farthest = std::max(farthest, member.status->received);
+        }
+    }
+    std::vector<std::string> retired;
+    for (const auto& [instance, member] : members_)
+    {
+        const bool later_term = member.ended_at && !primary_from_record_ &&
+                                primary_term_ > member.ended_in_term;
+        const bool covered =
+            member.needed_position && farthest >= *member.needed_position;
+        if (instance != primary_ && (later_term || covered))
+        {
+            retired.push_back(instance);
+        }
+    }
+    return retired;
+}
+
+bool failover_planner::is_paused(const member_state& member) const
+{
+    return member.status && member.status->paused_term > primary_term_;
+}
+
+bool failover_planner::is_urgent() const
+{
+    const auto primary = members_.find(primary_);
+    return phase_ != phase::steady ||
+           (primary != members_.end() && primary->second.unresponsive_since);
+}
+
+std::uint64_t failover_planner::newest_term() const
+{
+    std::uint64_t newest = primary_term_;
+    for (const auto& [instance, member] : members_)
+    {
+        if (member.status)
+        {
+            newest = std::max(
+                {newest, member.status->term, member.status->paused_term});
+        }
+    }
+    return newest;
+}
+
+const failover_planner::member_state*
+failover_planner::current_primary(time_point now) const
+{
+    const auto found = members_.find(primary_);
+    if (found == members_.end() || !is_fresh(found->second, now) ||
+        !found->second.status->primary ||
+        found->second.status->term < primary_term_)
+    {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+} // namespace zinniahub
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -1,6 +1,7 @@
 #include <zinniahub/failover_planner.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace zinniahub
 {
@@ -28,133 +29,12 @@
     return "unknown";
 }
 
-failover_summary failover_planner::summary(time_point now) const
-{
-    failover_summary result;
-    result.known = members_.size();
-    const auto* candidate = choose_candidate(now);
-    if (candidate != nullptr)
-    {
-        result.candidate = candidate->definition.instance;
-        result.candidate_position = candidate->status->received;
-    }
-    for (const auto& [instance, member] : members_)
-    {
-        if (!is_fresh(member, now))
-        {
-            continue;
-        }
-        ++result.answered;
-        result.oldest_status =
-            std::max(result.oldest_status, now - member.queried_at);
-        if (member.status->paused_term > primary_term_)
-        {
-            ++result.paused;
-            result.farthest_paused =
-                std::max(result.farthest_paused, member.status->received);
-        }
-    }
-    return result;
-}
-
-void failover_planner::reset()
-{
-    members_.clear();
-    phase_ = phase::steady;
-    primary_.clear();
-    primary_term_ = 0;
-    primary_from_record_ = false;
-    group_complete_ = false;
-    without_primary_since_.reset();
-    stalled_since_.reset();
-    promotion_target_.clear();
-    promotion_pending_ = false;
-    primary_confirmed_ = false;
-}
-
-void failover_planner::on_record(
-    std::string_view primary, std::uint64_t term, bool complete)
-{
-    group_complete_ = complete;
-    primary_ = primary;
-    primary_term_ = term;
-    primary_from_record_ = true;
-}
-
-void failover_planner::on_members(
-    const std::vector<replication_member>& members, std::uint32_t sync_replicas)
-{
-    sync_replicas_ = sync_replicas;
-    std::erase_if(
-        members_,
-        [&members](const auto& entry)
-        {
-            return std::none_of(
-                members.begin(), members.end(),
-                [&entry](const auto& member)
-                { return member.instance == entry.first; });
-        });
-    for (const auto& member : members)
-    {
-        if (!members_.contains(member.instance))
-        {
-            without_primary_since_.reset();
-        }
-        members_[member.instance].definition = member;
-    }
-}
-
-void failover_planner::on_status(
-    std::string_view instance, const replication_status& status,
-    time_point sent_at, time_point now)
-{
-    const auto found = members_.find(instance);
-    if (found == members_.end() || sent_at < found->second.queried_at)
-    {
-        return;
-    }
-    auto& member = found->second;
-    member.status = status;
-    member.queried_at = sent_at;
-    member.status_at = now;
-    member.unresponsive_since.reset();
-    member.refused_since.reset();
-    if (primary_from_record_ && instance == primary_)
-    {
-        primary_.clear();
-        primary_from_record_ = false;
-    }
-    if (status.primary && status.term >= primary_term_)
-    {
-        primary_ = found->first;
-        primary_term_ = status.term;
-        primary_from_record_ = false;
-    }
-}
-
-void failover_planner::on_no_status(
-    std::string_view instance, bool refused, time_point now)
-{
-    const auto found = members_.find(instance);
-    if (found == members_.end())
-    {
-        return;
-    }
-    auto& member = found->second;
-    if (!member.unresponsive_since)
-    {
-        member.unresponsive_since = now;
-    }
-    if (refused && !member.refused_since)
-    {
-        member.refused_since = now;
-    }
-}
-
 void failover_planner::on_promotion_result(
     promotion_result result, time_point now)
 {
     promotion_pending_ = false;
+    order_unknown_ = phase_ == phase::changing &&
+                     (order_unknown_ || result == promotion_result::unknown);
     if (phase_ == phase::restoring)
     {
         primary_confirmed_ = result == promotion_result::accepted;
@@ -170,96 +50,6 @@
     next_promotion_ = now + settings_.promotion_retry_interval;
 }
 
-bool failover_planner::is_fresh(
-    const member_state& member, time_point now) const
-{
-    return member.status && !member.unresponsive_since &&
-           now - member.queried_at <= settings_.status_validity;
-}
-
-bool failover_planner::has_shut_down(const member_state& member)
-{
-    return member.definition.replaced ||
-           (member.definition.shutdown_announced &&
-            member.refused_since.has_value());
-}
-
-void failover_planner::update_ended_members(time_point now)
-{
-    const auto* primary = current_primary(now);
-    for (auto& [instance, member] : members_)
-    {
-        if (!has_shut_down(member))
-        {
-            member.ended_at.reset();
-            member.needed_position.reset();
-            continue;
-        }
-        if (!member.ended_at)
-        {
-            member.ended_at = now;
-            member.ended_in_term = newest_term();
-        }
-        if (!member.needed_position && primary != nullptr &&
-            primary->queried_at > *member.ended_at)
-        {
-            member.needed_position = primary->status->received;
-        }
-    }
-}
-
-std::vector<std::string> failover_planner::retired_members() const
-{
-    log_position farthest;
-    for (const auto& [instance, member] : members_)
-    {
-        if (instance != primary_ && member.status && !has_shut_down(member))
-        {
-            farthest = std::max(farthest, member.status->received);
-        }
-    }
-    std::vector<std::string> retired;
-    for (const auto& [instance, member] : members_)
-    {
-        const bool later_term = member.ended_at && !primary_from_record_ &&
-                                primary_term_ > member.ended_in_term;
-        const bool covered =
-            member.needed_position && farthest >= *member.needed_position;
-        if (instance != primary_ && (later_term || covered))
-        {
-            retired.push_back(instance);
-        }
-    }
-    return retired;
-}
-
-std::uint64_t failover_planner::newest_term() const
-{
-    std::uint64_t newest = primary_term_;
-    for (const auto& [instance, member] : members_)
-    {
-        if (member.status)
-        {
-            newest = std::max(
-                {newest, member.status->term, member.status->paused_term});
-        }
-    }
-    return newest;
-}
-
-const failover_planner::member_state*
-failover_planner::current_primary(time_point now) const
-{
-    const auto found = members_.find(primary_);
-    if (found == members_.end() || !is_fresh(found->second, now) ||
-        !found->second.status->primary ||
-        found->second.status->term < primary_term_)
-    {
-        return nullptr;
-    }
-    return &found->second;
-}
-
 void failover_planner::query_members(
     std::vector<failover_step>& steps, time_point now)
 {
@@ -382,27 +172,38 @@
         reason_ = "primary_lost";
         return primary_is_lost(now);
     }
-    if (primary->definition.leaving)
-    {
-        reason_ = "primary_leaving";
-        return choose_candidate(now) != nullptr;
-    }
-    reason_ = "replication_stalled";
-    return primary_is_stalled(*primary, now);
+    // A candidate that is paused would not receive the commits that are
+    // acknowledged until the order takes effect.
+    const bool stalled = primary_is_stalled(*primary, now);
+    reason_ =
+        primary->definition.leaving ? "primary_leaving" : "replication_stalled";
+    const auto* candidate = choose_candidate(now);
+    return (primary->definition.leaving || stalled) && candidate != nullptr &&
+           !is_paused(*candidate);
 }
 
+// Replicas that receive come before paused ones while the primary responds, and
+// a former primary comes last.
 const failover_planner::member_state*
 failover_planner::choose_candidate(time_point now) const
 {
+    const bool primary_responds = current_primary(now) != nullptr;
+    const auto rank = [this, primary_responds](const member_state& member)
+    {
+        return std::tuple(
+            member.definition.instance != primary_,
+            !primary_responds || !is_paused(member), member.status->received,
+            !is_paused(member));
+    };
     const member_state* best = nullptr;
     for (const auto& [instance, member] : members_)
     {
-        if (instance == primary_ || !is_fresh(member, now) ||
+        if (!is_fresh(member, now) || has_shut_down(member) ||
             member.definition.leaving || member.status->primary)
         {
             continue;
         }
-        if (best == nullptr || member.status->received > best->status->received)
+        if (best == nullptr || rank(member) > rank(*best))
         {
             best = &member;
         }
@@ -410,31 +211,173 @@
     return best;
 }
 
-bool failover_planner::pause_other_replicas(
-    std::vector<failover_step>& steps, const member_state& candidate,
-    time_point now)
+const failover_planner::member_state*
+failover_planner::find_candidate(time_point now) const
+{
+    const auto found = members_.find(candidate_);
+    return found != members_.end() && is_fresh(found->second, now)
+               ? &found->second
+               : nullptr;
+}
+
+// One lost reply does not make a candidate unfit.
+bool failover_planner::candidate_is_unfit(time_point now) const
+{
+    const auto found = members_.find(candidate_);
+    if (found == members_.end())
+    {
+        return true;
+    }
+    const auto& member = found->second;
+    const bool silent =
+        member.unresponsive_since &&
+        now - *member.unresponsive_since >= settings_.unresponsive_limit;
+    return silent || member.refused_since || member.definition.leaving ||
+           has_shut_down(member) || (member.status && member.status->primary);
+}
+
+bool failover_planner::a_paused_replica_is_ahead(
+    const member_state& candidate) const
+{
+    return std::any_of(
+        members_.begin(), members_.end(),
+        [this, &candidate](const auto& entry)
+        {
+            const auto& member = entry.second;
+            return is_other_replica(member, candidate.definition.instance) &&
+                   is_paused(member) &&
+                   member.status->received > candidate.status->received;
+        });
+}
+
+const failover_planner::member_state*
+failover_planner::update_candidate(bool primary_responds, time_point now)
+{
+    const auto* candidate = find_candidate(now);
+    const bool behind =
+        candidate != nullptr && a_paused_replica_is_ahead(*candidate);
+    if (!behind)
+    {
+        candidate_behind_since_.reset();
+    }
+    else if (!candidate_behind_since_)
+    {
+        candidate_behind_since_ = now;
+    }
+    const bool stays_behind =
+        behind && !primary_responds &&
+        now - *candidate_behind_since_ >= settings_.behind_limit;
+    if (!stays_behind && !candidate_is_unfit(now))
+    {
+        return candidate;
+    }
+    candidate = choose_candidate(now);
+    if (candidate != nullptr && primary_responds && is_paused(*candidate))
+    {
+        candidate = nullptr;
+    }
+    candidate_ =
+        candidate == nullptr ? std::string{} : candidate->definition.instance;
+    candidate_behind_since_.reset();
+    candidate_deaf_since_.reset();
+    return candidate;
+}
+
+bool failover_planner::is_other_replica(
+    const member_state& member, std::string_view candidate) const
+{
+    const auto& instance = member.definition.instance;
+    return instance != primary_ && instance != candidate &&
+           !has_shut_down(member);
+}
+
+void failover_planner::pause_other_replicas(
+    std::vector<failover_step>& steps, time_point now)
 {
     const auto term = previous_term_ + 1;
-    bool all_paused = true;
     for (auto& [instance, member] : members_)
     {
-        if (instance == primary_ || &member == &candidate ||
-            has_shut_down(member))
-        {
-            continue;
-        }
         const bool paused =
             is_fresh(member, now) && member.status->paused_term >= term;
-        if (!paused && now >= member.next_replication_request)
+        if (is_other_replica(member, candidate_) && !paused &&
+            now >= member.next_replication_request)
         {
             member.next_replication_request = now + settings_.urgent_interval;
             steps.emplace_back(
                 failover_action::pause_replication{instance, term});
         }
-        all_paused = all_paused && paused &&
-                     member.status->received <= candidate.status->received;
     }
-    return all_paused;
+}
+
+bool failover_planner::other_replicas_are_paused(
+    const member_state& candidate, time_point now) const
+{
+    const auto is_recent = [this, now](const member_state& member)
+    {
+        return is_fresh(member, now) &&
+               now - member.queried_at <= settings_.order_status_age;
+    };
+    return is_recent(candidate) &&
+           std::all_of(
+               members_.begin(), members_.end(),
+               [&](const auto& entry)
+               {
+                   const auto& member = entry.second;
+                   return !is_other_replica(
+                              member, candidate.definition.instance) ||
+                          (is_recent(member) &&
+                           member.status->paused_term > previous_term_);
+               });
+}
+
+bool failover_planner::must_step_down(
+    const member_state& primary, const member_state& candidate, time_point now)
+{
+    // The primary's position is that of an earlier status, because entries take
+    // some time to reach the candidate.
+    if (candidate.status->received >= primary.earlier_received)
+    {
+        candidate_deaf_since_.reset();
+    }
+    else if (!candidate_deaf_since_)
+    {
+        candidate_deaf_since_ = now;
+    }
+    return order_unknown_ ||
+           (candidate_deaf_since_ &&
+            now - *candidate_deaf_since_ >= settings_.behind_limit);
+}
+
+bool failover_planner::is_order_justified(
+    std::string_view instance, time_point now) const
+{
+    const auto* candidate = find_candidate(now);
+    return phase_ == phase::changing && candidate != nullptr &&
+           candidate_ == instance &&
+           (sync_replicas_ == 0 ||
+            (other_replicas_are_paused(*candidate, now) &&
+             !a_paused_replica_is_ahead(*candidate)));
+}
+
+void failover_planner::start_failover(time_point now)
+{
+    phase_ = phase::changing;
+    previous_term_ = newest_term();
+    failover_started_at_ = now;
+    candidate_.clear();
+    candidate_behind_since_.reset();
+    candidate_deaf_since_.reset();
+    order_sent_ = false;
+    order_unknown_ = false;
+    next_promotion_ = now;
+}
+
+void failover_planner::start_restoring(time_point now)
+{
+    phase_ = phase::restoring;
+    primary_confirmed_ = false;
+    next_promotion_ = now;
+    candidate_.clear();
 }
 
 void failover_planner::continue_failover(
@@ -444,31 +387,55 @@
     if (primary != nullptr && primary->status->term > previous_term_)
     {
         stalled_since_.reset();
+        candidate_.clear();
         phase_ = phase::steady;
         return;
     }
     const bool still_needed = primary == nullptr ||
                               primary->definition.leaving ||
                               primary_is_stalled(*primary, now);
-    if (!still_needed && promotion_target_.empty())
+    const auto* candidate = update_candidate(primary != nullptr, now);
+    const bool abandoned = !still_needed && !order_sent_;
+    const bool no_candidate = primary != nullptr && candidate_.empty();
+    if ((abandoned || no_candidate) && !promotion_pending_)
     {
-        phase_ = phase::restoring;
-        primary_confirmed_ = false;
+        start_restoring(now);
         return;
     }
-    const auto* candidate = choose_candidate(now);
-    if (candidate == nullptr || promotion_pending_)
+    if (candidate_.empty())
+    {
+        return;
+    }
+    if (sync_replicas_ > 0)
+    {
+        pause_other_replicas(steps, now);
+    }
+    if (candidate == nullptr)
     {
         return;
     }
-    const bool ready =
-        sync_replicas_ == 0 || pause_other_replicas(steps, *candidate, now);
-    if (ready && now >= next_promotion_)
+    // Nothing else may delay the promotion of a service without a primary.
+    const bool step_down = sync_replicas_ > 0 && primary != nullptr &&
+                           must_step_down(*primary, *candidate, now) &&
+                           other_replicas_are_paused(*candidate, now);
+    if (step_down)
+    {
+        if (now >= next_step_down_)
+        {
+            next_step_down_ = now + settings_.urgent_interval;
+            steps.emplace_back(
+                failover_action::step_down{primary_, previous_term_ + 1});
+        }
+        return;
+    }
+    const bool early = primary != nullptr && sync_replicas_ > 0 &&
+                       now - failover_started_at_ < settings_.order_delay;
+    if (!promotion_pending_ && !early && now >= next_promotion_ &&
+        is_order_justified(candidate_, now))
     {
         promotion_pending_ = true;
-        promotion_target_ = candidate->definition.instance;
-        steps.emplace_back(
-            failover_action::order_promotion{promotion_target_, false});
+        order_sent_ = true;
+        steps.emplace_back(failover_action::order_promotion{candidate_, false});
     }
 }
 
@@ -476,7 +443,7 @@
     std::vector<failover_step>& steps, time_point now)
 {
     const auto* primary = current_primary(now);
-    if (primary == nullptr || primary->definition.leaving)
+    if (primary == nullptr)
     {
         phase_ = phase::steady;
         return;
@@ -508,6 +475,7 @@
     }
     if (!any_paused)
     {
+        stalled_since_.reset();
         phase_ = phase::steady;
     }
 }
@@ -533,16 +501,11 @@
                 });
         if (needs_failover(now))
         {
-            phase_ = phase::changing;
-            previous_term_ = newest_term();
-            promotion_target_.clear();
-            next_promotion_ = now;
+            start_failover(now);
         }
         else if (replicas_paused)
         {
-            phase_ = phase::restoring;
-            primary_confirmed_ = false;
-            next_promotion_ = now;
+            start_restoring(now);
         }
     }
     if (phase_ == phase::changing)
--- a/src/pooling/messages.hpp
+++ b/src/pooling/messages.hpp
@@ -59,7 +59,8 @@
     discard,
     status,
     pause,
-    resume
+    resume,
+    step_down
 };
 
 struct command
@@ -69,7 +70,7 @@
     std::string_view name = {};
     /// Session value or shape.
     std::string_view argument = {};
-    /// Term of `pause`.
+    /// Term of `pause` and `step_down`.
     std::uint64_t term = 0;
     /// The member refuses the command if its log lacks this position.
     std::optional<log_position> wait_for = std::nullopt;
@@ -126,7 +127,8 @@
     transaction_state state = transaction_state::none;
     /// Position of the member's log.
     std::optional<log_position> position;
-    /// Status of the member, in answers to status, pause and resume.
+    /// Status of the member, in answers to status, pause, resume and
+    /// step_down.
     std::optional<replication_status> status_row;
 
     bool ok() const
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -204,6 +204,18 @@
                 members_[release->instance].paused_term = 0;
                 answer(release->instance);
             }
+            else if (
+                const auto* demotion =
+                    std::get_if<failover_action::step_down>(&action))
+            {
+                auto& state = members_[demotion->instance];
+                if (state.running && !state.unreachable &&
+                    demotion->term > state.term)
+                {
+                    state.primary = false;
+                }
+                answer(demotion->instance);
+            }
             else if (
                 const auto* order =
                     std::get_if<failover_action::order_promotion>(&action))
@@ -512,6 +524,118 @@
     EXPECT_FALSE(model.commit_lost_);
 }
 
+// Guards against a candidate that changes with each status until all replicas
+// are paused: commits then wait for the next replica that starts.
+TEST(failover_planner, keeps_a_candidate_that_receives)
+{
+    service_model model;
+    model.run(1s);
+    model.not_replicating_ = {"c"};
+    model.commit();
+    model.tick(50ms, false);
+    model.not_replicating_ = {"b"};
+    model.commit();
+    model.leaving_ = {"a"};
+    model.update_planner();
+    for (int round = 0; round < 40; ++round)
+    {
+        model.tick(50ms, false);
+        const bool all_paused = model.members_["b"].paused_term > 0 &&
+                                model.members_["c"].paused_term > 0;
+        EXPECT_FALSE(model.members_["a"].primary && all_paused);
+    }
+    EXPECT_EQ(model.primary_name(), "c");
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against a commit that waits at a stalled or leaving primary until a
+// replica starts that the holder does not know yet, while an order is carried
+// out late.
+TEST(failover_planner, stops_a_primary_whose_candidate_receives_nothing)
+{
+    for (const bool primary_leaves : {false, true})
+    {
+        service_model model;
+        model.run(1s);
+        model.not_replicating_ = {"b", "c"};
+        model.commit();
+        if (primary_leaves)
+        {
+            model.leaving_ = {"a"};
+            model.update_planner();
+        }
+        for (int round = 0; round < 40; ++round)
+        {
+            model.tick(50ms, true);
+        }
+        ASSERT_FALSE(model.late_orders_.empty());
+        model.unknown_ = {"d"};
+        model.members_["d"];
+        model.commit();
+        model.execute(model.late_orders_.front());
+        EXPECT_NE(model.primary_name(), "a");
+        EXPECT_FALSE(model.commit_lost_);
+    }
+}
+
+// Guards against a primary that commits with a replica unknown to the holder
+// while an order without an answer may still be carried out.
+TEST(failover_planner, stops_the_primary_after_an_order_without_an_answer)
+{
+    service_model model;
+    model.run(1s);
+    model.leaving_ = {"a"};
+    model.update_planner();
+    for (int round = 0; round < 20; ++round)
+    {
+        model.tick(50ms, true);
+    }
+    ASSERT_FALSE(model.late_orders_.empty());
+    model.not_replicating_ = {"b", "c"};
+    model.unknown_ = {"d"};
+    model.members_["d"];
+    model.commit();
+    model.execute(model.late_orders_.front());
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against a change that starts while an earlier holder has paused all
+// replicas: the candidate would miss the commits of the meantime.
+TEST(failover_planner, resumes_replicas_before_a_leaving_primary_is_replaced)
+{
+    service_model model;
+    model.run(1s);
+    model.leaving_ = {"a"};
+    model.members_["b"].paused_term = 2;
+    model.members_["c"].paused_term = 2;
+    model.transfer_duty();
+    while (model.orders_ == 0)
+    {
+        ASSERT_LT(model.now_, start + 5s);
+        model.tick(50ms, false);
+    }
+    EXPECT_EQ(model.primary_name(), "a");
+    model.run(3s);
+    EXPECT_NE(model.primary_name(), "a");
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against a replica that starts during a change and is not paused.
+TEST(failover_planner, pauses_a_replica_that_starts_during_a_change)
+{
+    service_model model;
+    model.run(1s);
+    model.members_["c"].unreachable = true;
+    model.leaving_ = {"a"};
+    model.update_planner();
+    model.run(400ms);
+    model.members_["d"];
+    model.update_planner();
+    model.run(200ms);
+    EXPECT_GT(model.members_["d"].paused_term, 0U);
+    EXPECT_EQ(model.orders_, 0U);
+}
+
 // Guards against lost commits under any sequence of crashes, partitions,
 // interrupted replication, transfers of the duty and late orders.
 TEST(failover_planner, never_loses_an_acknowledged_commit)
