Let a silent member leave its group after its shutdown

A member that announced its shutdown, is registered no longer and has answered nothing for 60 s counts as exited: it leaves the group when a remaining replica has what the primary reported afterwards. Members that announced nothing are never forgotten. The planner still waits for a silent member during the 60 s.

Before: failover_planner.retires_a_silent_member_late failed with the old failover_members.cpp; now it passes.

--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -7,6 +7,16 @@
 namespace zinniahub
 {
 
+namespace
+{
+
+/// Time after which a member that announced its shutdown and neither answers
+/// nor refuses connections has exited. It receives commits until it exits,
+/// which may be many seconds after the announcement.
+constexpr duration shutdown_limit = std::chrono::seconds(60);
+
+} // namespace
+
 failover_summary failover_planner::summary(time_point now) const
 {
     failover_summary result;
@@ -154,7 +164,10 @@
     const auto* primary = current_primary(now);
     for (auto& [instance, member] : members_)
     {
-        if (!has_shut_down(member))
+        const bool silent = member.definition.shutdown_announced &&
+                            member.unresponsive_since &&
+                            now - *member.unresponsive_since >= shutdown_limit;
+        if (!has_shut_down(member) && !silent)
         {
             member.ended_at.reset();
             member.needed_position.reset();
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -505,6 +505,22 @@
     EXPECT_EQ(model.planner_.retired_members(), std::vector<std::string>{"c"});
 }
 
+// Guards against a group that keeps a member for ever whose address answers
+// nothing after its announced shutdown.
+TEST(failover_planner, retires_a_silent_member_late)
+{
+    service_model model;
+    model.run(1s);
+    model.leaving_ = {"c"};
+    model.shutting_down_ = {"c"};
+    model.members_["c"].unreachable = true;
+    model.update_planner();
+    model.run(59s);
+    EXPECT_TRUE(model.planner_.retired_members().empty());
+    model.run(3s);
+    EXPECT_EQ(model.planner_.retired_members(), std::vector<std::string>{"c"});
+}
+
 // Guards against replicas that stay paused after the primary returns.
 TEST(failover_planner, releases_replicas_when_the_primary_is_back)
 {
