--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -26,17 +26,18 @@
     std::uint64_t paused_term = 0;
 };
 
-/// @brief Registration data of a member that the planner uses.
+/// @brief A member of the replication group of a service.
 struct replication_member
 {
     std::string instance;
     /// Must not become or remain the primary.
     bool leaving = false;
-    /// The registration names this member as the primary.
-    bool registered_primary = false;
     /// The member announced its shutdown, and its registration has disappeared.
     /// It has either exited, and its log is gone, or is unreachable.
     bool shutdown_announced = false;
+    /// The registration has disappeared, and another member has the address:
+    /// the member has exited.
+    bool replaced = false;
 };
 
 namespace failover_action
@@ -61,6 +62,13 @@
     std::string instance;
 };
 
+/// Make the primary a replica. It acknowledges no further commit.
+struct step_down
+{
+    std::string instance;
+    std::uint64_t term;
+};
+
 /// Request the platform to promote a member, with a fencing token greater than
 /// all earlier ones.
 struct order_promotion
@@ -73,9 +81,27 @@
 
 } // namespace failover_action
 
+/// @brief What a decision of the planner is based on, for logs.
+struct failover_summary
+{
+    /// Member that is to be promoted; empty if there is none.
+    std::string candidate;
+    log_position candidate_position;
+    std::size_t known = 0;
+    /// Members with a valid status.
+    std::size_t answered = 0;
+    /// Members whose replication is paused according to their valid status.
+    std::size_t paused = 0;
+    /// Last log position among the paused members.
+    log_position farthest_paused;
+    /// Age of the oldest valid status, counted from its query.
+    duration oldest_status{};
+};
+
 using failover_step = std::variant<
     failover_action::query, failover_action::pause_replication,
-    failover_action::resume_replication, failover_action::order_promotion>;
+    failover_action::resume_replication, failover_action::step_down,
+    failover_action::order_promotion>;
 
 enum class promotion_result
 {
@@ -91,11 +117,20 @@
 /// An acknowledged commit is in the log of the primary and of at least one
 /// replica. Before a promotion, every replica except the candidate must pause
 /// replication, so that no further commit can be acknowledged without the
-/// candidate. The candidate is promoted only if its log reaches at least as far
-/// as the logs of the paused replicas. An unreachable replica may hold the only
-/// copy of a commit; the planner then waits for the replica or the primary to
-/// return, unless the replica announced its shutdown and its address refuses
-/// connections.
+/// candidate. The candidate is chosen once per failover and goes on receiving
+/// while the primary may commit. It is promoted only if its log reaches at
+/// least as far as the logs of the paused replicas. A replica that starts in
+/// the meantime is paused as soon as it is known; until then it may acknowledge
+/// commits of a primary whose candidate receives nothing, or while the result
+/// of an order is unknown, so such a primary steps down first. An unreachable
+/// replica may hold the only copy of a commit; the planner then waits for the
+/// replica or the primary to return, unless the replica announced its shutdown
+/// and its address refuses connections.
+///
+/// A host that acquires the duty starts from the durable record of the
+/// replication group. Without a complete record it cannot know the whole group;
+/// it then replaces a primary that it has never seen only after all others that
+/// it knows have answered for some time and none is the primary.
 ///
 /// A paused replica resumes only after an order that confirms the current
 /// primary, because an earlier order may still be executed.
@@ -120,8 +155,21 @@
         /// Time without any replica receiving the primary's latest entries
         /// after which the primary is replaced.
         duration stall_limit = std::chrono::milliseconds(900);
+        /// Time for which the candidate must fall behind the primary, or
+        /// behind a paused replica, before the planner acts on it.
+        duration behind_limit = std::chrono::milliseconds(200);
+        /// Largest age of a status that justifies an order.
+        duration order_status_age = std::chrono::milliseconds(400);
+        /// Time between the start of a failover and the first order while the
+        /// primary responds; replicas that have just started become known.
+        duration order_delay = std::chrono::milliseconds(300);
         /// Time after which an order that had no effect is repeated.
         duration promotion_retry_interval = std::chrono::milliseconds(2000);
+        /// Time for which an incomplete group must answer unchanged, without a
+        /// primary, before a member is promoted. Registrations that expired
+        /// during an outage of the store return within three heartbeats and
+        /// two seconds.
+        duration incomplete_group_delay = std::chrono::milliseconds(5000);
     };
 
     explicit failover_planner(settings values)
@@ -129,6 +177,13 @@
     {
     }
 
+    /// @brief Starts from the durable record of the group: the primary that it
+    /// names, which may be outdated, and its term. Call after `reset`.
+    /// @param complete false if there may be members that are not known
+    void on_record(std::string_view primary, std::uint64_t term, bool complete);
+
+    /// @param members the whole group, including members that are registered
+    /// no longer
     /// @param sync_replicas number of replicas that must receive a commit
     /// before it is acknowledged
     void on_members(
@@ -149,10 +204,33 @@
     /// @brief Returns the next steps. Call at least every 50 ms.
     std::vector<failover_step> on_tick(time_point now);
 
+    /// @brief True while the order that `on_tick` returned last is justified.
+    /// Call again before it is sent, after a call of the store.
+    bool is_order_justified(std::string_view instance, time_point now) const;
+
+    /// @brief True while changes of the members must be learned without delay.
+    bool is_urgent() const;
+
     /// @brief Clears all state. Call when the promotion duty is acquired or
     /// lost.
     void reset();
 
+    /// @brief Member that was last known to be the primary from its own status;
+    /// empty if there is none.
+    std::string_view known_primary() const
+    {
+        return primary_from_record_ ? std::string_view{} : primary_;
+    }
+    std::uint64_t known_term() const
+    {
+        return primary_term_;
+    }
+
+    /// @brief Members that have exited and whose logs are no longer needed: a
+    /// remaining replica has every commit that was acknowledged before the end
+    /// was known, or a later term has begun.
+    std::vector<std::string> retired_members() const;
+
     /// @brief Name of the state for logs: "steady", "changing" or "restoring".
     std::string_view state() const;
 
@@ -162,17 +240,28 @@
         return reason_;
     }
 
+    /// @brief What the planner knows about the members, for logs.
+    failover_summary summary(time_point now) const;
+
 private:
     struct member_state
     {
         replication_member definition;
         std::optional<replication_status> status;
+        /// Position received according to the status before the last.
+        log_position earlier_received;
         /// Time at which the query for the last status was sent.
         time_point queried_at = time_point::min();
         time_point status_at = time_point::min();
         /// Time of the first failed query since the last status.
         std::optional<time_point> unresponsive_since;
         std::optional<time_point> refused_since;
+        /// Time at which the end of the member became known.
+        std::optional<time_point> ended_at;
+        /// Highest known term at that time.
+        std::uint64_t ended_in_term = 0;
+        /// Position of the primary after that time.
+        std::optional<log_position> needed_position;
         time_point next_query = time_point::min();
         time_point next_replication_request = time_point::min();
     };
@@ -182,17 +271,33 @@
     /// True if the member has exited and its log is gone.
     static bool has_shut_down(const member_state& member);
     const member_state* current_primary(time_point now) const;
-    void adopt_registered_primary();
+    void update_ended_members(time_point now);
+    void update_incomplete_group(time_point now);
+    bool no_member_is_primary(time_point now) const;
     std::uint64_t newest_term() const;
     void query_members(std::vector<failover_step>& steps, time_point now);
     bool needs_failover(time_point now);
     bool primary_is_lost(time_point now) const;
     bool primary_is_stalled(const member_state& primary, time_point now);
+    bool is_paused(const member_state& member) const;
     const member_state* choose_candidate(time_point now) const;
+    const member_state* find_candidate(time_point now) const;
+    bool candidate_is_unfit(time_point now) const;
+    bool a_paused_replica_is_ahead(const member_state& candidate) const;
+    /// Keeps or replaces the candidate.
+    const member_state* update_candidate(bool primary_responds, time_point now);
+    void start_failover(time_point now);
     void continue_failover(std::vector<failover_step>& steps, time_point now);
-    bool pause_other_replicas(
-        std::vector<failover_step>& steps, const member_state& candidate,
+    bool is_other_replica(
+        const member_state& member, std::string_view candidate) const;
+    void
+    pause_other_replicas(std::vector<failover_step>& steps, time_point now);
+    bool other_replicas_are_paused(
+        const member_state& candidate, time_point now) const;
+    bool must_step_down(
+        const member_state& primary, const member_state& candidate,
         time_point now);
+    void start_restoring(time_point now);
     void resume_replicas(std::vector<failover_step>& steps, time_point now);
 
     enum class phase
@@ -211,14 +316,28 @@
     /// Member that was last known to be the primary, and its term.
     std::string primary_;
     std::uint64_t primary_term_ = 0;
-    /// True if `primary_` is known only from its registration.
-    bool primary_from_registration_ = false;
+    /// True if `primary_` is known only from the record of the group.
+    bool primary_from_record_ = false;
+    /// False if the group may have members that are not known.
+    bool group_complete_ = false;
+    /// Time since which all members of the group have answered and none is the
+    /// primary. A primary that is known from the record need not answer.
+    std::optional<time_point> without_primary_since_;
     std::optional<time_point> stalled_since_;
     /// Highest known term at the start of the failover; the new primary's term
     /// must be greater.
     std::uint64_t previous_term_ = 0;
-    /// Member to promote in the last order of this failover.
-    std::string promotion_target_;
+    time_point failover_started_at_ = time_point::min();
+    /// Member to promote.
+    std::string candidate_;
+    /// Time since which a paused replica is ahead of the candidate.
+    std::optional<time_point> candidate_behind_since_;
+    /// Time since which the candidate does not receive the primary's entries.
+    std::optional<time_point> candidate_deaf_since_;
+    time_point next_step_down_ = time_point::min();
+    /// True if an order was sent in this failover.
+    bool order_sent_ = false;
+    bool order_unknown_ = false;
     time_point next_promotion_ = time_point::min();
     bool promotion_pending_ = false;
     bool primary_confirmed_ = false;
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -1,9 +1,14 @@
 #include "coordination/promotion_coordinator.hpp"
 
+#include "coordination/replication_group_codec.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
 
 namespace zinniahub::coordination
 {
@@ -15,6 +20,7 @@
 
 constexpr std::string_view duty_key = "zinniahub/duty/promotion";
 constexpr duration tick_interval = std::chrono::milliseconds(50);
+constexpr duration record_retry_interval = std::chrono::milliseconds(500);
 
 /// A status takes a slot for less than a millisecond.
 constexpr duration status_timeout = std::chrono::milliseconds(350);
@@ -23,6 +29,16 @@
 /// Name under which status connections are opened.
 constexpr std::string_view control_customer = "zinniahub";
 
+std::string to_text(log_position position)
+{
+    return fmt::format("{}.{}", position.term, position.index);
+}
+
+std::int64_t to_ms(duration value)
+{
+    return value / std::chrono::milliseconds(1);
+}
+
 } // namespace
 
 /// Connection for status queries and pauses, with at most one call in
@@ -34,6 +50,8 @@
     bool busy = false;
     /// Command to send after the one in progress.
     std::optional<pooling::command> queued_command;
+    /// Term for which replication was last seen paused; 0 if it was not.
+    std::uint64_t paused_term = 0;
 };
 
 promotion_coordinator::promotion_coordinator(
@@ -100,6 +118,10 @@
         }
         if (lease_id_ != 0)
         {
+            if (!groups_loaded_)
+            {
+                co_await load_groups();
+            }
             if (now >= next_renewal &&
                 store_.last_answer_at() >= renewal_failed_at_)
             {
@@ -146,8 +168,102 @@
     revision_ = *written;
     leader_ = settings_.host;
     services_.clear();
+    groups_loaded_ = false;
     events_.write(
-        "duty_taken", {{"lease", lease_id_}, {"revision", revision_}});
+        "duty_taken", {{"lease", lease_id_},
+                       {"revision", revision_},
+                       {"members", directory_.members().size()}});
+    co_await load_groups();
+}
+
+// Reads the records after the holder's key was written: no earlier holder can
+// change them any more.
+awaitable<void> promotion_coordinator::load_groups()
+{
+    const auto epoch = lease_.epoch();
+    const auto records = co_await store_.list(replication_prefix);
+    if (!records || epoch != lease_.epoch() || lease_id_ == 0)
+    {
+        co_return;
+    }
+    for (const auto& item : records->items)
+    {
+        load_group(item);
+    }
+    groups_loaded_ = true;
+}
+
+void promotion_coordinator::load_group(const stored_item& item)
+{
+    const auto name = item.key.substr(replication_prefix.size());
+    auto& service = services_[name];
+    auto group = decode_replication_group(item.value);
+    if (!group)
+    {
+        events_.write(
+            "record_unreadable", {{"key", item.key},
+                                  {"revision", item.revision},
+                                  {"detail", group.error().detail}});
+        service.group.on_unreadable(item.revision);
+        return;
+    }
+    events_.write(
+        "replication_group_loaded", {{"service", name},
+                                     {"members", group->members.size()},
+                                     {"primary", group->primary},
+                                     {"term", group->term},
+                                     {"complete", group->complete},
+                                     {"revision", item.revision}});
+    service.planner.on_record(group->primary, group->term, group->complete);
+    service.group.on_loaded(std::move(*group), item.revision, clock::now());
+}
+
+awaitable<void> promotion_coordinator::record_group(std::string service)
+{
+    const auto epoch = lease_.epoch();
+    const auto key = std::string(replication_prefix) + service;
+    const auto group = services_[service].group.group();
+    store_transaction change;
+    change.preconditions.push_back({std::string(duty_key), revision_});
+    change.preconditions.push_back({key, services_[service].group.revision()});
+    change.writes.push_back({key, encode_replication_group(group), 0});
+    const auto written = co_await store_.commit(change);
+    std::optional<std::uint64_t> reread;
+    if (!written && written.error().code != errc::platform_unavailable)
+    {
+        const auto records = co_await store_.list(key);
+        if (records)
+        {
+            reread = 0;
+            for (const auto& item : records->items)
+            {
+                reread = item.key == key ? item.revision : *reread;
+            }
+        }
+    }
+    const auto found = services_.find(service);
+    if (epoch != lease_.epoch() || found == services_.end())
+    {
+        co_return;
+    }
+    auto& state = found->second;
+    state.recording = false;
+    state.next_record = clock::now() + record_retry_interval;
+    if (written)
+    {
+        state.group.on_recorded(group, *written);
+        events_.write(
+            "replication_group_recorded", {{"service", service},
+                                           {"members", group.members.size()},
+                                           {"primary", group.primary},
+                                           {"term", group.term},
+                                           {"complete", group.complete},
+                                           {"revision", *written}});
+    }
+    else if (reread)
+    {
+        state.group.on_reread(*reread);
+    }
 }
 
 awaitable<void> promotion_coordinator::renew_lease()
@@ -184,6 +300,14 @@
     services_.clear();
 }
 
+bool promotion_coordinator::is_urgent() const
+{
+    return lease_id_ != 0 && std::any_of(
+                                 services_.begin(), services_.end(),
+                                 [](const auto& entry)
+                                 { return entry.second.planner.is_urgent(); });
+}
+
 awaitable<void> promotion_coordinator::stop()
 {
     leaving_ = true;
@@ -209,7 +333,7 @@
         timer.expires_after(tick_interval);
         co_await timer.async_wait(asio::use_awaitable);
         const auto now = clock::now();
-        if (!is_leader(now) || configuration_ == nullptr)
+        if (!is_leader(now) || configuration_ == nullptr || !groups_loaded_)
         {
             continue;
         }
@@ -220,39 +344,110 @@
     }
 }
 
-void promotion_coordinator::plan_service(
+void promotion_coordinator::update_group(
     const service_definition& definition, service_state& service,
     time_point now)
 {
-    std::vector<replication_member> members;
     for (const auto& [instance, member] : directory_.members())
     {
-        if (member.record.service == definition.name &&
-            !directory_.was_replaced(member))
+        const auto& record = member.record;
+        if (record.service == definition.name && member.missing_since == never)
         {
-            members.push_back(
-                {.instance = instance,
-                 .leaving = member.leaving,
-                 .registered_primary = member.record.primary,
-                 .shutdown_announced =
-                     member.record.draining && member.missing_since != never});
+            service.group.on_registered(
+                instance,
+                {.address = record.address,
+                 .failure_domain = record.failure_domain,
+                 .started_ms = record.started_ms,
+                 .draining = record.draining},
+                now);
         }
     }
-    service.planner.on_members(members, definition.sync_replicas);
+    service.group.on_primary(
+        service.planner.known_primary(), service.planner.known_term());
+    for (const auto& instance : service.planner.retired_members())
+    {
+        service.group.on_retired(instance);
+    }
+    service.group.on_tick(now);
+    if (service.group.needs_record() && !service.recording &&
+        now >= service.next_record)
+    {
+        service.recording = true;
+        asio::co_spawn(io_, record_group(definition.name), asio::detached);
+    }
+}
+
+std::vector<replication_member>
+promotion_coordinator::planner_members(const replication_group& group) const
+{
+    std::vector<replication_member> members;
+    for (const auto& [instance, member] : group.members)
+    {
+        const bool registered = directory_.is_registered(instance);
+        members.push_back(
+            {.instance = instance,
+             .leaving = member.draining ||
+                        directory_.is_evacuated(member.failure_domain),
+             .shutdown_announced = member.draining && !registered,
+             .replaced =
+                 !registered && directory_.is_address_used(member.address)});
+    }
+    return members;
+}
+
+void promotion_coordinator::plan_service(
+    const service_definition& definition, service_state& service,
+    time_point now)
+{
+    update_group(definition, service, now);
+    service.planner.on_members(
+        planner_members(service.group.group()), definition.sync_replicas);
     for (const auto& step : service.planner.on_tick(now))
     {
         execute_step(definition.name, service, step);
     }
+    log_state_change(definition.name, service, now);
+}
+
+void promotion_coordinator::log_state_change(
+    const std::string& name, service_state& service, time_point now)
+{
     const auto state = service.planner.state();
-    if (state != service.last_state)
+    if (state == service.last_state)
     {
-        events_.write(
-            "failover_state", {{"service", definition.name},
-                               {"from", service.last_state},
-                               {"to", state},
-                               {"reason", service.planner.reason()}});
-        service.last_state = state;
+        return;
+    }
+    const auto basis = service.planner.summary(now);
+    events_.write(
+        "failover_state", {{"service", name},
+                           {"from", service.last_state},
+                           {"to", state},
+                           {"reason", service.planner.reason()},
+                           {"candidate", basis.candidate},
+                           {"position", to_text(basis.candidate_position)},
+                           {"known", basis.known},
+                           {"answered", basis.answered},
+                           {"paused", basis.paused},
+                           {"farthest_paused", to_text(basis.farthest_paused)},
+                           {"oldest_status_ms", to_ms(basis.oldest_status)}});
+    service.last_state = state;
+}
+
+void promotion_coordinator::log_replication(
+    const std::string& service, const std::string& instance,
+    member_control& control, const replication_status& status)
+{
+    if (status.paused_term == control.paused_term)
+    {
+        return;
     }
+    control.paused_term = status.paused_term;
+    events_.write(
+        status.paused_term > 0 ? "replication_paused" : "replication_resumed",
+        {{"service", service},
+         {"instance", instance},
+         {"term", status.paused_term},
+         {"received", to_text(status.received)}});
 }
 
 promotion_coordinator::member_control&
@@ -296,6 +491,17 @@
         instance = release->instance;
         command = {.kind = pooling::command_kind::resume};
     }
+    else if (
+        const auto* demotion = std::get_if<failover_action::step_down>(&step))
+    {
+        instance = demotion->instance;
+        command = {
+            .kind = pooling::command_kind::step_down, .term = demotion->term};
+        events_.write(
+            "step_down_requested", {{"service", name},
+                                    {"instance", instance},
+                                    {"term", demotion->term}});
+    }
     auto& control = member_control_for(service, instance);
     if (control.busy)
     {
@@ -311,13 +517,14 @@
 awaitable<void> promotion_coordinator::run_on_member(
     std::string service, std::string instance, pooling::command value)
 {
-    const auto found = directory_.members().find(instance);
-    if (found == directory_.members().end())
+    const auto& members = services_[service].group.group().members;
+    const auto found = members.find(instance);
+    if (found == members.end())
     {
         co_return;
     }
     const pooling::member_address target{
-        service, found->second.record.address, instance,
+        service, found->second.address, instance,
         std::string(control_customer)};
     const auto epoch = lease_.epoch();
     auto* control = &member_control_for(services_[service], instance);
@@ -359,6 +566,7 @@
     control->link = std::move(link);
     if (answer && answer->ok() && answer->status_row)
     {
+        log_replication(service, instance, *control, *answer->status_row);
         state.planner.on_status(instance, *answer->status_row, sent_at, now);
     }
     else if (!answer)
@@ -412,6 +620,15 @@
     {
         co_return;
     }
+    auto& planner = services_[service].planner;
+    if (!value.confirms_primary &&
+        !planner.is_order_justified(value.instance, clock::now()))
+    {
+        // The members changed while the token was written.
+        planner.on_promotion_result(promotion_result::refused, clock::now());
+        co_return;
+    }
+    const auto basis = services_[service].planner.summary(clock::now());
     errc code = token ? errc{} : token.error().code;
     if (token)
     {
@@ -434,7 +651,13 @@
          {"confirms", value.confirms_primary},
          {"token", token ? *token : 0},
          {"outcome", static_cast<int>(outcome)},
-         {"error", code == errc{} ? "" : to_string(code)}});
+         {"error", code == errc{} ? "" : to_string(code)},
+         {"position", to_text(basis.candidate_position)},
+         {"known", basis.known},
+         {"answered", basis.answered},
+         {"paused", basis.paused},
+         {"farthest_paused", to_text(basis.farthest_paused)},
+         {"oldest_status_ms", to_ms(basis.oldest_status)}});
     const auto found = services_.find(service);
     if (found != services_.end() && epoch == lease_.epoch())
     {
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -1,6 +1,7 @@
 #include <zinniahub/failover_planner.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace zinniahub
 {
@@ -28,120 +29,12 @@
     return "unknown";
 }
 
-void failover_planner::reset()
-{
-    members_.clear();
-    phase_ = phase::steady;
-    primary_.clear();
-    primary_term_ = 0;
-    primary_from_registration_ = false;
-    stalled_since_.reset();
-    promotion_target_.clear();
-    promotion_pending_ = false;
-    primary_confirmed_ = false;
-}
-
-void failover_planner::on_members(
-    const std::vector<replication_member>& members, std::uint32_t sync_replicas)
-{
-    sync_replicas_ = sync_replicas;
-    std::erase_if(
-        members_,
-        [&members](const auto& entry)
-        {
-            return std::none_of(
-                members.begin(), members.end(),
-                [&entry](const auto& member)
-                { return member.instance == entry.first; });
-        });
-    for (const auto& member : members)
-    {
-        members_[member.instance].definition = member;
-    }
-    adopt_registered_primary();
-}
-
-// A host that acquires the promotion duty while the primary is unreachable has
-// never received the primary's status, so it starts from the registration.
-void failover_planner::adopt_registered_primary()
-{
-    if (!primary_.empty() && !primary_from_registration_)
-    {
-        return;
-    }
-    primary_.clear();
-    primary_from_registration_ = false;
-    const member_state* found = nullptr;
-    for (const auto& [instance, member] : members_)
-    {
-        if (member.definition.registered_primary)
-        {
-            if (found != nullptr)
-            {
-                return;
-            }
-            found = &member;
-        }
-    }
-    // The status of a member takes precedence over its registration.
-    if (found != nullptr && !found->status)
-    {
-        primary_ = found->definition.instance;
-        primary_from_registration_ = true;
-    }
-}
-
-void failover_planner::on_status(
-    std::string_view instance, const replication_status& status,
-    time_point sent_at, time_point now)
-{
-    const auto found = members_.find(instance);
-    if (found == members_.end() || sent_at < found->second.queried_at)
-    {
-        return;
-    }
-    auto& member = found->second;
-    member.status = status;
-    member.queried_at = sent_at;
-    member.status_at = now;
-    member.unresponsive_since.reset();
-    member.refused_since.reset();
-    if (primary_from_registration_ && instance == primary_)
-    {
-        primary_.clear();
-        primary_from_registration_ = false;
-    }
-    if (status.primary && status.term >= primary_term_)
-    {
-        primary_ = found->first;
-        primary_term_ = status.term;
-        primary_from_registration_ = false;
-    }
-}
-
-void failover_planner::on_no_status(
-    std::string_view instance, bool refused, time_point now)
-{
-    const auto found = members_.find(instance);
-    if (found == members_.end())
-    {
-        return;
-    }
-    auto& member = found->second;
-    if (!member.unresponsive_since)
-    {
-        member.unresponsive_since = now;
-    }
-    if (refused && !member.refused_since)
-    {
-        member.refused_since = now;
-    }
-}
-
 void failover_planner::on_promotion_result(
     promotion_result result, time_point now)
 {
     promotion_pending_ = false;
+    order_unknown_ = phase_ == phase::changing &&
+                     (order_unknown_ || result == promotion_result::unknown);
     if (phase_ == phase::restoring)
     {
         primary_confirmed_ = result == promotion_result::accepted;
@@ -157,46 +50,6 @@
     next_promotion_ = now + settings_.promotion_retry_interval;
 }
 
-bool failover_planner::is_fresh(
-    const member_state& member, time_point now) const
-{
-    return member.status && !member.unresponsive_since &&
-           now - member.queried_at <= settings_.status_validity;
-}
-
-bool failover_planner::has_shut_down(const member_state& member)
-{
-    return member.definition.shutdown_announced &&
-           member.refused_since.has_value();
-}
-
-std::uint64_t failover_planner::newest_term() const
-{
-    std::uint64_t newest = primary_term_;
-    for (const auto& [instance, member] : members_)
-    {
-        if (member.status)
-        {
-            newest = std::max(
-                {newest, member.status->term, member.status->paused_term});
-        }
-    }
-    return newest;
-}
-
-const failover_planner::member_state*
-failover_planner::current_primary(time_point now) const
-{
-    const auto found = members_.find(primary_);
-    if (found == members_.end() || !is_fresh(found->second, now) ||
-        !found->second.status->primary ||
-        found->second.status->term < primary_term_)
-    {
-        return nullptr;
-    }
-    return &found->second;
-}
-
 void failover_planner::query_members(
     std::vector<failover_step>& steps, time_point now)
 {
@@ -204,6 +57,10 @@
                                                   : settings_.urgent_interval;
     for (auto& [instance, member] : members_)
     {
+        if (member.definition.replaced)
+        {
+            continue;
+        }
         const bool is_primary = instance == primary_;
         const bool urgent = is_primary && member.unresponsive_since;
         auto delay = urgent ? settings_.urgent_interval : interval;
@@ -219,32 +76,49 @@
     }
 }
 
+bool failover_planner::no_member_is_primary(time_point now) const
+{
+    return !members_.empty() &&
+           std::all_of(
+               members_.begin(), members_.end(),
+               [this, now](const auto& entry)
+               {
+                   const auto& member = entry.second;
+                   const bool presumed_lost = primary_from_record_ &&
+                                              entry.first == primary_ &&
+                                              !is_fresh(member, now);
+                   return presumed_lost || has_shut_down(member) ||
+                          (is_fresh(member, now) && !member.status->primary);
+               });
+}
+
+void failover_planner::update_incomplete_group(time_point now)
+{
+    if (!no_member_is_primary(now))
+    {
+        without_primary_since_.reset();
+    }
+    else if (!without_primary_since_)
+    {
+        without_primary_since_ = now;
+    }
+}
+
 bool failover_planner::primary_is_lost(time_point now) const
 {
+    const bool group_is_known =
+        group_complete_ ||
+        (without_primary_since_ &&
+         now - *without_primary_since_ >= settings_.incomplete_group_delay);
     const auto found = members_.find(primary_);
-    if (found == members_.end())
+    if (found == members_.end() || found->second.definition.replaced)
     {
-        // No primary is known, or its registration was removed: the primary is
-        // lost only if every member reports that it is not the primary.
-        return !members_.empty() &&
-               std::all_of(
-                   members_.begin(), members_.end(),
-                   [this, now](const auto& entry)
-                   {
-                       return has_shut_down(entry.second) ||
-                              (is_fresh(entry.second, now) &&
-                               !entry.second.status->primary);
-                   });
+        // No primary is known, or it has exited: the primary is lost only if
+        // every member reports that it is not the primary.
+        return group_is_known && no_member_is_primary(now);
     }
     const auto& member = found->second;
-    const bool others_responded = std::all_of(
-        members_.begin(), members_.end(),
-        [this, now](const auto& entry)
-        {
-            return entry.first == primary_ || has_shut_down(entry.second) ||
-                   is_fresh(entry.second, now);
-        });
-    if (primary_from_registration_ && !others_responded)
+    if (primary_from_record_ && !(group_is_known && no_member_is_primary(now)))
     {
         return false;
     }
@@ -298,27 +172,38 @@
         reason_ = "primary_lost";
         return primary_is_lost(now);
     }
-    if (primary->definition.leaving)
-    {
-        reason_ = "primary_leaving";
-        return choose_candidate(now) != nullptr;
-    }
-    reason_ = "replication_stalled";
-    return primary_is_stalled(*primary, now);
+    // A candidate that is paused would not receive the commits that are
+    // acknowledged until the order takes effect.
+    const bool stalled = primary_is_stalled(*primary, now);
+    reason_ =
+        primary->definition.leaving ? "primary_leaving" : "replication_stalled";
+    const auto* candidate = choose_candidate(now);
+    return (primary->definition.leaving || stalled) && candidate != nullptr &&
+           !is_paused(*candidate);
 }
 
+// Replicas that receive come before paused ones while the primary responds, and
+// a former primary comes last.
 const failover_planner::member_state*
 failover_planner::choose_candidate(time_point now) const
 {
+    const bool primary_responds = current_primary(now) != nullptr;
+    const auto rank = [this, primary_responds](const member_state& member)
+    {
+        return std::tuple(
+            member.definition.instance != primary_,
+            !primary_responds || !is_paused(member), member.status->received,
+            !is_paused(member));
+    };
     const member_state* best = nullptr;
     for (const auto& [instance, member] : members_)
     {
-        if (instance == primary_ || !is_fresh(member, now) ||
+        if (!is_fresh(member, now) || has_shut_down(member) ||
             member.definition.leaving || member.status->primary)
         {
             continue;
         }
-        if (best == nullptr || member.status->received > best->status->received)
+        if (best == nullptr || rank(member) > rank(*best))
         {
             best = &member;
         }
@@ -326,31 +211,173 @@
     return best;
 }
 
-bool failover_planner::pause_other_replicas(
-    std::vector<failover_step>& steps, const member_state& candidate,
-    time_point now)
+const failover_planner::member_state*
+failover_planner::find_candidate(time_point now) const
+{
+    const auto found = members_.find(candidate_);
+    return found != members_.end() && is_fresh(found->second, now)
+               ? &found->second
+               : nullptr;
+}
+
+// One lost reply does not make a candidate unfit.
+bool failover_planner::candidate_is_unfit(time_point now) const
+{
+    const auto found = members_.find(candidate_);
+    if (found == members_.end())
+    {
+        return true;
+    }
+    const auto& member = found->second;
+    const bool silent =
+        member.unresponsive_since &&
+        now - *member.unresponsive_since >= settings_.unresponsive_limit;
+    return silent || member.refused_since || member.definition.leaving ||
+           has_shut_down(member) || (member.status && member.status->primary);
+}
+
+bool failover_planner::a_paused_replica_is_ahead(
+    const member_state& candidate) const
+{
+    return std::any_of(
+        members_.begin(), members_.end(),
+        [this, &candidate](const auto& entry)
+        {
+            const auto& member = entry.second;
+            return is_other_replica(member, candidate.definition.instance) &&
+                   is_paused(member) &&
+                   member.status->received > candidate.status->received;
+        });
+}
+
+const failover_planner::member_state*
+failover_planner::update_candidate(bool primary_responds, time_point now)
+{
+    const auto* candidate = find_candidate(now);
+    const bool behind =
+        candidate != nullptr && a_paused_replica_is_ahead(*candidate);
+    if (!behind)
+    {
+        candidate_behind_since_.reset();
+    }
+    else if (!candidate_behind_since_)
+    {
+        candidate_behind_since_ = now;
+    }
+    const bool stays_behind =
+        behind && !primary_responds &&
+        now - *candidate_behind_since_ >= settings_.behind_limit;
+    if (!stays_behind && !candidate_is_unfit(now))
+    {
+        return candidate;
+    }
+    candidate = choose_candidate(now);
+    if (candidate != nullptr && primary_responds && is_paused(*candidate))
+    {
+        candidate = nullptr;
+    }
+    candidate_ =
+        candidate == nullptr ? std::string{} : candidate->definition.instance;
+    candidate_behind_since_.reset();
+    candidate_deaf_since_.reset();
+    return candidate;
+}
+
+bool failover_planner::is_other_replica(
+    const member_state& member, std::string_view candidate) const
+{
+    const auto& instance = member.definition.instance;
+    return instance != primary_ && instance != candidate &&
+           !has_shut_down(member);
+}
+
+void failover_planner::pause_other_replicas(
+    std::vector<failover_step>& steps, time_point now)
 {
     const auto term = previous_term_ + 1;
-    bool all_paused = true;
     for (auto& [instance, member] : members_)
     {
-        if (instance == primary_ || &member == &candidate ||
-            has_shut_down(member))
-        {
-            continue;
-        }
         const bool paused =
             is_fresh(member, now) && member.status->paused_term >= term;
-        if (!paused && now >= member.next_replication_request)
+        if (is_other_replica(member, candidate_) && !paused &&
+            now >= member.next_replication_request)
         {
             member.next_replication_request = now + settings_.urgent_interval;
             steps.emplace_back(
                 failover_action::pause_replication{instance, term});
         }
-        all_paused = all_paused && paused &&
-                     member.status->received <= candidate.status->received;
     }
-    return all_paused;
+}
+
+bool failover_planner::other_replicas_are_paused(
+    const member_state& candidate, time_point now) const
+{
+    const auto is_recent = [this, now](const member_state& member)
+    {
+        return is_fresh(member, now) &&
+               now - member.queried_at <= settings_.order_status_age;
+    };
+    return is_recent(candidate) &&
+           std::all_of(
+               members_.begin(), members_.end(),
+               [&](const auto& entry)
+               {
+                   const auto& member = entry.second;
+                   return !is_other_replica(
+                              member, candidate.definition.instance) ||
+                          (is_recent(member) &&
+                           member.status->paused_term > previous_term_);
+               });
+}
+
+bool failover_planner::must_step_down(
+    const member_state& primary, const member_state& candidate, time_point now)
+{
+    // The primary's position is that of an earlier status, because entries take
+    // some time to reach the candidate.
+    if (candidate.status->received >= primary.earlier_received)
+    {
+        candidate_deaf_since_.reset();
+    }
+    else if (!candidate_deaf_since_)
+    {
+        candidate_deaf_since_ = now;
+    }
+    return order_unknown_ ||
+           (candidate_deaf_since_ &&
+            now - *candidate_deaf_since_ >= settings_.behind_limit);
+}
+
+bool failover_planner::is_order_justified(
+    std::string_view instance, time_point now) const
+{
+    const auto* candidate = find_candidate(now);
+    return phase_ == phase::changing && candidate != nullptr &&
+           candidate_ == instance &&
+           (sync_replicas_ == 0 ||
+            (other_replicas_are_paused(*candidate, now) &&
+             !a_paused_replica_is_ahead(*candidate)));
+}
+
+void failover_planner::start_failover(time_point now)
+{
+    phase_ = phase::changing;
+    previous_term_ = newest_term();
+    failover_started_at_ = now;
+    candidate_.clear();
+    candidate_behind_since_.reset();
+    candidate_deaf_since_.reset();
+    order_sent_ = false;
+    order_unknown_ = false;
+    next_promotion_ = now;
+}
+
+void failover_planner::start_restoring(time_point now)
+{
+    phase_ = phase::restoring;
+    primary_confirmed_ = false;
+    next_promotion_ = now;
+    candidate_.clear();
 }
 
 void failover_planner::continue_failover(
@@ -360,31 +387,55 @@
     if (primary != nullptr && primary->status->term > previous_term_)
     {
         stalled_since_.reset();
+        candidate_.clear();
         phase_ = phase::steady;
         return;
     }
     const bool still_needed = primary == nullptr ||
                               primary->definition.leaving ||
                               primary_is_stalled(*primary, now);
-    if (!still_needed && promotion_target_.empty())
+    const auto* candidate = update_candidate(primary != nullptr, now);
+    const bool abandoned = !still_needed && !order_sent_;
+    const bool no_candidate = primary != nullptr && candidate_.empty();
+    if ((abandoned || no_candidate) && !promotion_pending_)
     {
-        phase_ = phase::restoring;
-        primary_confirmed_ = false;
+        start_restoring(now);
         return;
     }
-    const auto* candidate = choose_candidate(now);
-    if (candidate == nullptr || promotion_pending_)
+    if (candidate_.empty())
     {
         return;
     }
-    const bool ready =
-        sync_replicas_ == 0 || pause_other_replicas(steps, *candidate, now);
-    if (ready && now >= next_promotion_)
+    if (sync_replicas_ > 0)
+    {
+        pause_other_replicas(steps, now);
+    }
+    if (candidate == nullptr)
+    {
+        return;
+    }
+    // Nothing else may delay the promotion of a service without a primary.
+    const bool step_down = sync_replicas_ > 0 && primary != nullptr &&
+                           must_step_down(*primary, *candidate, now) &&
+                           other_replicas_are_paused(*candidate, now);
+    if (step_down)
+    {
+        if (now >= next_step_down_)
+        {
+            next_step_down_ = now + settings_.urgent_interval;
+            steps.emplace_back(
+                failover_action::step_down{primary_, previous_term_ + 1});
+        }
+        return;
+    }
+    const bool early = primary != nullptr && sync_replicas_ > 0 &&
+                       now - failover_started_at_ < settings_.order_delay;
+    if (!promotion_pending_ && !early && now >= next_promotion_ &&
+        is_order_justified(candidate_, now))
     {
         promotion_pending_ = true;
-        promotion_target_ = candidate->definition.instance;
-        steps.emplace_back(
-            failover_action::order_promotion{promotion_target_, false});
+        order_sent_ = true;
+        steps.emplace_back(failover_action::order_promotion{candidate_, false});
     }
 }
 
@@ -392,7 +443,7 @@
     std::vector<failover_step>& steps, time_point now)
 {
     const auto* primary = current_primary(now);
-    if (primary == nullptr || primary->definition.leaving)
+    if (primary == nullptr)
     {
         phase_ = phase::steady;
         return;
@@ -424,6 +475,7 @@
     }
     if (!any_paused)
     {
+        stalled_since_.reset();
         phase_ = phase::steady;
     }
 }
@@ -432,6 +484,8 @@
 {
     std::vector<failover_step> steps;
     query_members(steps, now);
+    update_ended_members(now);
+    update_incomplete_group(now);
     if (phase_ == phase::steady)
     {
         const auto* primary = current_primary(now);
@@ -447,16 +501,11 @@
                 });
         if (needs_failover(now))
         {
-            phase_ = phase::changing;
-            previous_term_ = newest_term();
-            promotion_target_.clear();
-            next_promotion_ = now;
+            start_failover(now);
         }
         else if (replicas_paused)
         {
-            phase_ = phase::restoring;
-            primary_confirmed_ = false;
-            next_promotion_ = now;
+            start_restoring(now);
         }
     }
     if (phase_ == phase::changing)
