Promote nobody without the commits of an exited replica

A replica that leaves counts for acknowledgements until it ends. If the remaining one had received nothing for a while, the exited replica and the primary alone have the commits of that time. The planner left exited members out, so a crash of the primary, or a stall seen at the replicas that it knew, promoted a member without these commits.

A candidate must now reach the position of the primary reported after the end was known; if the primary has reported none, the last positions of the exited member and of the primary. Until then the planner waits for the primary, for the successor, or for the candidate to catch up. A later term makes the rule void.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -260,8 +260,11 @@
         std::optional<time_point> ended_at;
         /// Highest known term at that time.
         std::uint64_t ended_in_term = 0;
-        /// Position of the primary after that time.
+        /// Position up to which its log may hold the only copies of commits:
+        /// that of the primary after that time, or the last known one.
         std::optional<log_position> needed_position;
+        /// True if `needed_position` was reported by the primary.
+        bool needed_position_is_final = false;
         time_point next_query = time_point::min();
         time_point next_replication_request = time_point::min();
     };
@@ -272,6 +275,10 @@
     static bool has_shut_down(const member_state& member);
     const member_state* current_primary(time_point now) const;
     void update_ended_members(time_point now);
+    log_position last_position_before_end(const member_state& ended) const;
+    /// True if the candidate has every commit that only members which have
+    /// exited may have had.
+    bool covers_ended_members(const member_state& candidate) const;
     void update_incomplete_group(time_point now);
     bool no_member_is_primary(time_point now) const;
     std::uint64_t newest_term() const;
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -171,21 +171,56 @@
         {
             member.ended_at.reset();
             member.needed_position.reset();
+            member.needed_position_is_final = false;
             continue;
         }
         if (!member.ended_at)
         {
             member.ended_at = now;
             member.ended_in_term = newest_term();
+            member.needed_position = last_position_before_end(member);
         }
-        if (!member.needed_position && primary != nullptr &&
+        if (!member.needed_position_is_final && primary != nullptr &&
             primary->queried_at > *member.ended_at)
         {
             member.needed_position = primary->status->received;
+            member.needed_position_is_final = true;
         }
     }
 }
 
+// A replica that lacks these positions did not receive what the ended member
+// received shortly before its end.
+log_position
+failover_planner::last_position_before_end(const member_state& ended) const
+{
+    const auto primary = members_.find(primary_);
+    log_position last;
+    if (ended.status)
+    {
+        last = ended.status->received;
+    }
+    if (primary != members_.end() && primary->second.status)
+    {
+        last = std::max(last, primary->second.status->received);
+    }
+    return last;
+}
+
+bool failover_planner::covers_ended_members(const member_state& candidate) const
+{
+    return std::all_of(
+        members_.begin(), members_.end(),
+        [this, &candidate](const auto& entry)
+        {
+            const auto& member = entry.second;
+            const bool later_term =
+                !primary_from_record_ && primary_term_ > member.ended_in_term;
+            return entry.first == primary_ || !member.ended_at || later_term ||
+                   candidate.status->received >= *member.needed_position;
+        });
+}
+
 std::vector<std::string> failover_planner::retired_members() const
 {
     log_position farthest;
@@ -201,8 +236,8 @@
     {
         const bool later_term = member.ended_at && !primary_from_record_ &&
                                 primary_term_ > member.ended_in_term;
-        const bool covered =
-            member.needed_position && farthest >= *member.needed_position;
+        const bool covered = member.needed_position_is_final &&
+                             farthest >= *member.needed_position;
         if (instance != primary_ && (later_term || covered))
         {
             retired.push_back(instance);
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -179,7 +179,7 @@
         primary->definition.leaving ? "primary_leaving" : "replication_stalled";
     const auto* candidate = choose_candidate(now);
     return (primary->definition.leaving || stalled) && candidate != nullptr &&
-           !is_paused(*candidate);
+           !is_paused(*candidate) && covers_ended_members(*candidate);
 }
 
 // Replicas that receive come before paused ones while the primary responds, and
@@ -356,7 +356,8 @@
            candidate_ == instance &&
            (sync_replicas_ == 0 ||
             (other_replicas_are_paused(*candidate, now) &&
-             !a_paused_replica_is_ahead(*candidate)));
+             !a_paused_replica_is_ahead(*candidate) &&
+             covers_ended_members(*candidate)));
 }
 
 void failover_planner::start_failover(time_point now)
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -389,6 +389,32 @@
     }
 }
 
+// Guards against a promotion that loses commits of which only a replica that
+// has shut down as announced had a copy, beside the primary.
+TEST(failover_planner, waits_for_the_primary_if_an_exited_replica_was_ahead)
+{
+    service_model model;
+    model.run(1s);
+    model.leaving_ = {"c"};
+    model.not_replicating_ = {"b"};
+    model.update_planner();
+    model.commit();
+    model.run(600ms);
+    model.members_["c"].running = false;
+    model.shutting_down_ = {"c"};
+    model.members_["a"].running = false;
+    model.update_planner();
+    model.run(5s);
+    EXPECT_EQ(model.orders_, 0U);
+    model.members_["a"].running = true;
+    model.not_replicating_.clear();
+    model.run(1s);
+    model.members_["a"].running = false;
+    model.run(2s);
+    EXPECT_EQ(model.primary_name(), "b");
+    EXPECT_FALSE(model.commit_lost_);
+}
+
 // Guards against a promotion that waits for a replica that has shut down as
 // announced.
 TEST(failover_planner, does_not_wait_for_a_leaving_replica_that_has_shut_down)
