--- a/src/coordination/promotion_coordinator.hpp
+++ b/src/coordination/promotion_coordinator.hpp
@@ -21,6 +21,9 @@
 namespace zinniahub::coordination
 {
 
+/// @brief Key that the holder of the duty keeps under its lease.
+inline constexpr std::string_view duty_key = "zinniahub/duty/promotion";
+
 /// @brief Elects the one host that may order promotions (the duty) and runs
 /// the failover planner on it.
 ///
@@ -92,6 +95,9 @@
     class member_control;
     struct service_state
     {
+        service_state();
+        ~service_state();
+
         failover_planner planner{failover_planner::settings{}};
         std::map<std::string, std::unique_ptr<member_control>, std::less<>>
             members;
--- /dev/null
+++ b/src/coordination/promotion_groups.cpp
@@ -0,0 +1,165 @@
+#include "coordination/promotion_coordinator.hpp"
+#include "coordination/replication_group_codec.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <optional>
+
+// Replication groups of the promotion coordinator: their records in the store
+// and the members that the planner knows.
+
+namespace zinniahub::coordination
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr duration record_retry_interval = std::chrono::milliseconds(500);
+
+} // namespace
+
+// Reads the records after the holder's key was written: no earlier holder can
+// change them any more.
+awaitable<void> promotion_coordinator::load_groups()
+{
+    const auto epoch = lease_.epoch();
+    const auto records = co_await store_.list(replication_prefix);
+    if (!records || epoch != lease_.epoch() || lease_id_ == 0)
+    {
+        co_return;
+    }
+    for (const auto& item : records->items)
+    {
+        load_group(item);
+    }
+    groups_loaded_ = true;
+}
+
+void promotion_coordinator::load_group(const stored_item& item)
+{
+    const auto name = item.key.substr(replication_prefix.size());
+    auto& service = services_[name];
+    auto group = decode_replication_group(item.value);
+    if (!group)
+    {
+        events_.write(
+            "record_unreadable", {{"key", item.key},
+                                  {"revision", item.revision},
+                                  {"detail", group.error().detail}});
+        service.group.on_unreadable(item.revision);
+        return;
+    }
+    events_.write(
+        "replication_group_loaded", {{"service", name},
+                                     {"members", group->members.size()},
+                                     {"primary", group->primary},
+                                     {"term", group->term},
+                                     {"complete", group->complete},
+                                     {"revision", item.revision}});
+    service.planner.on_record(group->primary, group->term, group->complete);
+    service.group.on_loaded(std::move(*group), item.revision, clock::now());
+}
+
+awaitable<void> promotion_coordinator::record_group(std::string service)
+{
+    const auto epoch = lease_.epoch();
+    const auto key = std::string(replication_prefix) + service;
+    const auto group = services_[service].group.group();
+    store_transaction change;
+    change.preconditions.push_back({std::string(duty_key), revision_});
+    change.preconditions.push_back({key, services_[service].group.revision()});
+    change.writes.push_back({key, encode_replication_group(group), 0});
+    const auto written = co_await store_.commit(change);
+    std::optional<std::uint64_t> reread;
+    if (!written && written.error().code != errc::platform_unavailable)
+    {
+        const auto records = co_await store_.list(key);
+        if (records)
+        {
+            reread = 0;
+            for (const auto& item : records->items)
+            {
+                reread = item.key == key ? item.revision : *reread;
+            }
+        }
+    }
+    const auto found = services_.find(service);
+    if (epoch != lease_.epoch() || found == services_.end())
+    {
+        co_return;
+    }
+    auto& state = found->second;
+    state.recording = false;
+    state.next_record = clock::now() + record_retry_interval;
+    if (written)
+    {
+        state.group.on_recorded(group, *written);
+        events_.write(
+            "replication_group_recorded", {{"service", service},
+                                           {"members", group.members.size()},
+                                           {"primary", group.primary},
+                                           {"term", group.term},
+                                           {"complete", group.complete},
+                                           {"revision", *written}});
+    }
+    else if (reread)
+    {
+        state.group.on_reread(*reread);
+    }
+}
+
+void promotion_coordinator::update_group(
+    const service_definition& definition, service_state& service,
+    time_point now)
+{
+    for (const auto& [instance, member] : directory_.members())
+    {
+        const auto& record = member.record;
+        if (record.service == definition.name && member.missing_since == never)
+        {
+            service.group.on_registered(
+                instance,
+                {.address = record.address,
+                 .failure_domain = record.failure_domain,
+                 .started_ms = record.started_ms,
+                 .draining = record.draining},
+                now);
+        }
+    }
+    service.group.on_primary(
+        service.planner.known_primary(), service.planner.known_term());
+    for (const auto& instance : service.planner.retired_members())
+    {
+        service.group.on_retired(instance);
+    }
+    service.group.on_tick(now);
+    if (service.group.needs_record() && !service.recording &&
+        now >= service.next_record)
+    {
+        service.recording = true;
+        asio::co_spawn(io_, record_group(definition.name), asio::detached);
+    }
+}
+
+std::vector<replication_member>
+promotion_coordinator::planner_members(const replication_group& group) const
+{
+    std::vector<replication_member> members;
+    for (const auto& [instance, member] : group.members)
+    {
+        const bool registered = directory_.is_registered(instance);
+        members.push_back(
+            {.instance = instance,
+             .leaving = member.draining ||
+                        directory_.is_evacuated(member.failure_domain),
+             .shutdown_announced = member.draining && !registered,
+             .replaced =
+                 !registered && directory_.is_address_used(member.address)});
+    }
+    return members;
+}
+
+} // namespace zinniahub::coordination
