Keep few idle connections when there are many hosts

A host kept one idle connection to each member, however many hosts there were. 79 hosts then hold more connections than a member with a limit of 50 accepts, and a connection serves one customer only, so an idle one rarely helps. Members refused the connections of hosts that had requests.

The limits of a host now come from the member's limit and the number of hosts: the idle connections of all hosts together take at most half of the member. A host may open a connection in any case.

--- a/src/pooling/member_pool.cpp
+++ b/src/pooling/member_pool.cpp
@@ -28,6 +28,15 @@
 
 } // namespace
 
+member_pool::limits
+member_pool::limits::of(std::uint32_t member_limit, std::size_t hosts)
+{
+    const auto count = static_cast<std::uint32_t>(hosts);
+    return {
+        std::max<std::uint32_t>(member_limit / count, 1),
+        member_limit / 2 / count, member_limit};
+}
+
 member_pool::availability
 member_pool::availability_for(std::string_view customer, time_point now) const
 {
--- a/src/pooling/member_pool.hpp
+++ b/src/pooling/member_pool.hpp
@@ -44,6 +44,10 @@
         std::uint32_t max_idle = 1;
         /// Connections that the member accepts from all hosts.
         std::uint32_t member_limit = 1;
+
+        /// @brief Limits of one of `hosts` hosts. The idle connections of all
+        /// hosts together take at most half of the member's limit.
+        static limits of(std::uint32_t member_limit, std::size_t hosts);
     };
 
     /// @brief How a connection can be obtained.
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -64,17 +64,10 @@
         last_customer_ = customer;
     }
     definition_ = std::move(definition);
-    host_count_ = std::max<std::size_t>(host_count, 1);
-    pools_.set_limits(pool_limits());
-}
-
-member_pool::limits service_gateway::pool_limits() const
-{
-    const auto limit = definition_.max_connections;
-    const auto share = limit / static_cast<std::uint32_t>(host_count_);
-    return {
-        std::max<std::uint32_t>(share, 1),
-        std::max<std::uint32_t>(share / 2, 1), limit};
+    pools_.set_limits(
+        member_pool::limits::of(
+            definition_.max_connections,
+            std::max<std::size_t>(host_count, 1)));
 }
 
 member_view service_gateway::view() const
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -172,7 +172,6 @@
     void update_lag(member_pool& pool, const reply& answer) const;
     awaitable<result<connection_lease>>
     acquire(access_request& request, purpose use, log_position position);
-    member_pool::limits pool_limits() const;
     bool is_congested(time_point now) const;
     awaitable<bool> wait_for_release(
         const access_request& request, purpose use, time_point until);
@@ -193,7 +192,6 @@
     position_exchange& positions_;
     service_definition definition_;
     log::event_log& events_;
-    std::size_t host_count_ = 1;
     pool_set pools_;
     connection_opener opener_;
     primary_position_history samples_;
--- /dev/null
+++ b/tests/unit/unit-member_pool.cpp
@@ -0,0 +1,110 @@
+#include "pooling/member_pool.hpp"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace
+{
+
+using namespace zinniahub;
+using namespace zinniahub::pooling;
+using namespace std::chrono_literals;
+
+const time_point start{1h};
+
+/// Connection that stays open until it is closed.
+class idle_link : public member_connection
+{
+public:
+    awaitable<result<reply>> forward(
+        std::string_view, std::string_view, std::optional<log_position>,
+        duration) override
+    {
+        co_return reply{};
+    }
+
+    awaitable<result<reply>> run(const command&, duration) override
+    {
+        co_return reply{};
+    }
+
+    bool is_open() const override
+    {
+        return open_;
+    }
+
+    void close() override
+    {
+        open_ = false;
+    }
+
+private:
+    bool open_ = true;
+};
+
+pooled_connection_ptr make_connection(std::string customer)
+{
+    auto connection = std::make_unique<pooled_connection>();
+    connection->link = std::make_unique<idle_link>();
+    connection->customer = std::move(customer);
+    return connection;
+}
+
+/// Pools of all hosts for one member, after each host has served requests.
+std::vector<member_pool>
+pools_after_use(std::uint32_t member_limit, std::size_t hosts)
+{
+    std::vector<member_pool> pools(hosts);
+    for (auto& pool : pools)
+    {
+        pool.set_limits(member_pool::limits::of(member_limit, hosts));
+        for (const auto* customer : {"alba", "bea", "cleo"})
+        {
+            pool.on_connecting();
+            pool.on_connected();
+            pool.return_connection(make_connection(customer), start);
+        }
+        pool.close_surplus(start + 1s);
+    }
+    return pools;
+}
+
+std::size_t open_connections(const std::vector<member_pool>& pools)
+{
+    std::size_t total = 0;
+    for (const auto& pool : pools)
+    {
+        total += pool.connection_count();
+    }
+    return total;
+}
+
+// Guards against idle connections of many hosts that fill a member, so that it
+// refuses the connections of hosts that have requests.
+TEST(member_pool, idle_connections_of_all_hosts_leave_half_of_a_member_free)
+{
+    for (const std::size_t hosts : {1U, 2U, 9U, 26U, 49U, 51U, 79U, 400U})
+    {
+        EXPECT_LE(open_connections(pools_after_use(50, hosts)), 25U)
+            << hosts << " hosts";
+    }
+}
+
+// Guards against hosts that keep nothing although the member has room.
+TEST(member_pool, hosts_keep_connections_while_there_is_room)
+{
+    EXPECT_EQ(open_connections(pools_after_use(50, 9)), 18U);
+}
+
+// Guards against a host that opens nothing, because its part of the member's
+// limit is less than one connection.
+TEST(member_pool, each_host_may_open_a_connection)
+{
+    member_pool pool;
+    pool.set_limits(member_pool::limits::of(50, 79));
+    EXPECT_EQ(
+        pool.availability_for("alba", start), member_pool::availability::open);
+}
+
+} // namespace
