Share the samples of a primary among the hosts

Each host sampled each primary every 300 ms while it had bounded reads. With 79 hosts and 8 primaries that is up to 2,000 samples a second, and most need a new connection, which takes a slot of the primary. Callers saw queue_full and no_primary.

All hosts now compute the same order of hosts for a service (sampler_choice, rendezvous hashing). A host asks the first one that answers, and only a host that is asked keeps sampling. A host that does not answer in 30 ms is passed over for 1 s; after two such questions the host samples itself. The age of a position is counted as before, from before the question, so it never looks younger than it is; a question that waits for a sample only looks older.

--- a/include/zinniahub/membership.hpp
+++ b/include/zinniahub/membership.hpp
@@ -159,6 +159,9 @@
     std::size_t fan_out_;
 };
 
+/// @brief Id of a name that is the same on all hosts and in all builds.
+std::uint64_t stable_id(std::string_view name);
+
 /// @brief Order of hosts for an id by rendezvous hashing, as indices into
 /// `hosts`. The result is the same on all hosts and does not depend on the
 /// order of `hosts`.
--- a/src/coordination/peer_position_exchange.cpp
+++ b/src/coordination/peer_position_exchange.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <charconv>
+#include <utility>
 #include <vector>
 
 namespace zinniahub::coordination
@@ -17,8 +18,11 @@
 /// Limit of requests that are tracked while they wait for a reply.
 constexpr std::size_t max_pending_requests = 64;
 
-/// Hosts that get each request.
-constexpr std::size_t peers_per_request = 2;
+/// Age of a position above which a question waits for the next sample.
+constexpr duration max_reply_age = std::chrono::milliseconds(600);
+
+/// Limit of questions of a service that wait for a sample.
+constexpr std::size_t max_unanswered_questions = 1024;
 
 std::uint64_t consume_number(std::string_view& text)
 {
@@ -45,36 +49,104 @@
         [this](std::string_view, std::string_view text) { on_reply(text); });
 }
 
-void peer_position_exchange::request_position(const std::string& service)
+peer_position_exchange::service_state&
+peer_position_exchange::state_of(std::string_view service)
+{
+    refresh_hosts();
+    const auto found = services_.find(service);
+    if (found != services_.end())
+    {
+        return found->second;
+    }
+    auto& state =
+        services_.try_emplace(std::string(service), service).first->second;
+    state.choice.set_hosts(network_.address(), known_peers_);
+    return state;
+}
+
+void peer_position_exchange::refresh_hosts()
 {
     const auto& peers = hosts_.peer_addresses();
+    if (peers == known_peers_)
+    {
+        return;
+    }
+    known_peers_ = peers;
+    for (auto& [service, state] : services_)
+    {
+        state.choice.set_hosts(network_.address(), known_peers_);
+    }
+}
+
+bool peer_position_exchange::request_position(const std::string& service)
+{
     const auto now = clock::now();
-    for (std::size_t count = 0; count < peers_per_request && !peers.empty();
-         ++count)
+    const auto decision = state_of(service).choice.next(now);
+    if (decision.next == sampler_choice::action::ask)
     {
         const auto number = ++next_request_id_;
-        pending_requests_[number] = now;
+        pending_requests_[number] = {service, now};
         if (pending_requests_.size() > max_pending_requests)
         {
             pending_requests_.erase(pending_requests_.begin());
         }
         network_.send(
-            peers[next_peer_++ % peers.size()],
+            decision.host,
             fmt::format("{} {} {}", request_word, service, number));
     }
+    return decision.next != sampler_choice::action::sample;
+}
+
+void peer_position_exchange::on_sample_failed(const std::string& service)
+{
+    state_of(service).choice.on_sample_failed(clock::now());
 }
 
 void peer_position_exchange::on_request(
     std::string_view from, std::string_view text)
 {
     const auto service = consume_word(text);
-    const auto number = consume_number(text);
+    const question asked{std::string(from), consume_number(text)};
     auto* gateway = find_gateway_(service);
     if (gateway == nullptr)
     {
         return;
     }
-    const auto newest = gateway->newest_position(clock::now());
+    const auto now = clock::now();
+    gateway->on_position_requested(now);
+    const auto newest = gateway->newest_position(now);
+    if (newest && newest->second <= max_reply_age)
+    {
+        answer(asked, service, *gateway, now);
+        return;
+    }
+    auto& unanswered = state_of(service).unanswered;
+    if (unanswered.size() < max_unanswered_questions)
+    {
+        unanswered.push_back(asked);
+    }
+}
+
+void peer_position_exchange::on_position(const std::string& service)
+{
+    const auto found = services_.find(service);
+    auto* gateway = find_gateway_(service);
+    if (found == services_.end() || gateway == nullptr)
+    {
+        return;
+    }
+    const auto now = clock::now();
+    for (const auto& asked : std::exchange(found->second.unanswered, {}))
+    {
+        answer(asked, service, *gateway, now);
+    }
+}
+
+void peer_position_exchange::answer(
+    const question& asked, std::string_view service,
+    const pooling::service_gateway& gateway, time_point now)
+{
+    const auto newest = gateway.newest_position(now);
     if (!newest)
     {
         return;
@@ -82,9 +154,10 @@
     const auto age =
         std::chrono::duration_cast<std::chrono::microseconds>(newest->second);
     network_.send(
-        from, fmt::format(
-                  "{} {} {} {} {} {}", reply_word, service, number,
-                  newest->first.term, newest->first.index, age.count() + 1));
+        asked.from,
+        fmt::format(
+            "{} {} {} {} {} {}", reply_word, service, asked.number,
+            newest->first.term, newest->first.index, age.count() + 1));
 }
 
 void peer_position_exchange::on_reply(std::string_view text)
@@ -95,7 +168,8 @@
     {
         return;
     }
-    const auto asked_at = asked->second;
+    const auto asked_at = asked->second.asked_at;
+    state_of(asked->second.service).choice.on_reply();
     pending_requests_.erase(asked);
     log_position position;
     position.term = consume_number(text);
--- a/src/lib/membership.cpp
+++ b/src/lib/membership.cpp
@@ -267,6 +267,11 @@
     return hosts_.empty() ? nullptr : &hosts_.front();
 }
 
+std::uint64_t stable_id(std::string_view name)
+{
+    return mix(hash_name(name));
+}
+
 std::vector<std::size_t>
 rendezvous_order(std::uint64_t id, std::span<const std::string> hosts)
 {
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -1,5 +1,7 @@
 #include "pooling/service_gateway.hpp"
 
+#include <zinniahub/sampler_choice.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -24,6 +26,9 @@
 /// Age of the newest sample at which another one is taken.
 constexpr duration sample_interval = std::chrono::milliseconds(300);
 
+/// Time after a question of another host for which the primary is sampled.
+constexpr duration sampling_period = std::chrono::seconds(2);
+
 /// A member that does not answer for this long while a call is pending is
 /// probed with a new connection; a single statement may take longer.
 constexpr duration silence_limit = std::chrono::milliseconds(250);
@@ -64,10 +69,8 @@
         last_customer_ = customer;
     }
     definition_ = std::move(definition);
-    pools_.set_limits(
-        member_pool::limits::of(
-            definition_.max_connections,
-            std::max<std::size_t>(host_count, 1)));
+    pools_.set_limits(member_pool::limits::of(
+        definition_.max_connections, std::max<std::size_t>(host_count, 1)));
 }
 
 member_view service_gateway::view() const
@@ -291,9 +294,9 @@
 std::optional<log_position>
 service_gateway::required_position(time_point now, duration max_staleness)
 {
-    if (now - sample_interval > samples_.newest_sample_time())
+    if (needs_sample(now))
     {
-        start_sampling();
+        refresh_position();
     }
     return samples_.required_position(now, max_staleness - staleness_margin);
 }
@@ -310,7 +313,8 @@
             co_return required;
         }
         asio::steady_timer timer(io_);
-        timer.expires_after(until - now);
+        timer.expires_after(
+            std::min<duration>(until - now, sampler_choice::reply_timeout));
         position_waiters_.push_back(&timer);
         boost::system::error_code ignored;
         co_await timer.async_wait(
@@ -319,8 +323,9 @@
     }
 }
 
-void service_gateway::wake_position_waiters()
+void service_gateway::on_new_position()
 {
+    positions_.on_position(definition_.name);
     for (auto* timer : position_waiters_)
     {
         timer->cancel();
@@ -333,7 +338,7 @@
     // The other host answered after it was asked, so the position is at most
     // this old.
     samples_.add(asked_at - age, position);
-    wake_position_waiters();
+    on_new_position();
 }
 
 std::optional<std::pair<log_position, duration>>
@@ -354,7 +359,7 @@
     if (position)
     {
         samples_.add(sent_at, *position);
-        wake_position_waiters();
+        on_new_position();
     }
     if (instance != primary_.instance)
     {
@@ -367,6 +372,28 @@
     primary_.confirmed_at = std::max(primary_.confirmed_at, sent_at);
 }
 
+bool service_gateway::needs_sample(time_point now) const
+{
+    return now - sample_interval > samples_.newest_sample_time();
+}
+
+void service_gateway::on_position_requested(time_point now)
+{
+    position_requested_at_ = now;
+    if (needs_sample(now))
+    {
+        start_sampling();
+    }
+}
+
+void service_gateway::refresh_position()
+{
+    if (!sampling_ && !positions_.request_position(definition_.name))
+    {
+        start_sampling();
+    }
+}
+
 void service_gateway::start_sampling()
 {
     if (!sampling_ && !last_customer_.empty())
@@ -419,14 +446,10 @@
         }
     }
     sampling_ = false;
-    if (clock::now() - sample_interval > samples_.newest_sample_time())
+    if (needs_sample(clock::now()))
     {
         // The primary is unreachable or has no spare connection.
-        positions_.request_position(definition_.name);
-        if (!position_waiters_.empty())
-        {
-            start_sampling();
-        }
+        positions_.on_sample_failed(definition_.name);
     }
 }
 
@@ -470,6 +493,10 @@
     if (samples_.newest_sample_time() == time_point::min())
     {
         // The first reads need a position.
+        refresh_position();
+    }
+    if (now - sampling_period < position_requested_at_ && needs_sample(now))
+    {
         start_sampling();
     }
     auto& pools = pools_.all();
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -44,14 +44,19 @@
     std::vector<std::string> excluded;
 };
 
-/// @brief Requests from other hosts positions of a service's primary.
+/// @brief Shares positions of the services' primaries with other hosts.
 class position_exchange
 {
 public:
     virtual ~position_exchange() = default;
-    /// @brief Asks one other host. An answer goes to
-    /// `service_gateway::on_peer_position`.
-    virtual void request_position(const std::string& service) = 0;
+    /// @brief Asks another host, unless a question is pending. An answer goes
+    /// to `service_gateway::on_peer_position`.
+    /// @return false if this host has to sample the primary itself
+    virtual bool request_position(const std::string& service) = 0;
+    /// @brief This host knows a newer position; answers hosts that asked.
+    virtual void on_position(const std::string& service) = 0;
+    /// @brief This host could not sample the primary.
+    virtual void on_sample_failed(const std::string& service) = 0;
 };
 
 /// @brief Traffic of this host to the members of one service: which member a
@@ -100,6 +105,10 @@
     void
     on_peer_position(time_point asked_at, duration age, log_position position);
 
+    /// @brief Another host asks for a position; the primary is sampled while
+    /// such questions come.
+    void on_position_requested(time_point now);
+
     /// @brief Newest position of the primary with its age; none if too old.
     std::optional<std::pair<log_position, duration>>
     newest_position(time_point now) const;
@@ -181,8 +190,10 @@
     void wake_waiters(std::string_view instance);
     static bool wake_next(queue_map& queues);
     void probe_silent_members(time_point now);
+    bool needs_sample(time_point now) const;
+    void refresh_position();
     void start_sampling();
-    void wake_position_waiters();
+    void on_new_position();
     awaitable<connection_lease> acquire_for_sample();
     awaitable<void> sample();
     awaitable<void> roll_back(connection_lease lease);
@@ -199,6 +210,7 @@
     queue_map primary_waiters_;
     queue_map read_waiters_;
     bool sampling_ = false;
+    time_point position_requested_at_ = time_point::min();
     /// Requests that wait for a position of the primary.
     std::list<boost::asio::steady_timer*> position_waiters_;
     /// Last time at which no request waited.
