--- a/src/pooling/connection_opener.cpp
+++ b/src/pooling/connection_opener.cpp
@@ -44,6 +44,7 @@
     if (!link)
     {
         pool.on_connect_failed(link.error(), clock::now());
+        ++failures_[to_string(link.error())];
         events_.write(
             "member_connect_failed",
             {{"service", target.service},
--- a/src/pooling/connection_opener.hpp
+++ b/src/pooling/connection_opener.hpp
@@ -9,9 +9,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace zinniahub::pooling
 {
@@ -40,10 +42,16 @@
     /// time.
     void probe(member_address target);
 
+    /// @brief Attempts, also those that failed.
     std::uint64_t opened() const
     {
         return opened_;
     }
+    /// @brief Failed attempts by the word for the failure.
+    const std::map<std::string_view, std::uint64_t>& failures() const
+    {
+        return failures_;
+    }
 
 private:
     /// A connection attempt that a request waits for.
@@ -72,6 +80,7 @@
     unclaimed_handler on_unclaimed_;
     std::set<std::string> probing_;
     std::uint64_t opened_ = 0;
+    std::map<std::string_view, std::uint64_t> failures_;
 };
 
 } // namespace zinniahub::pooling
--- a/src/pooling/messages.cpp
+++ b/src/pooling/messages.cpp
@@ -1,5 +1,7 @@
 #include "pooling/messages.hpp"
 
+#include "pooling/ports.hpp"
+
 namespace zinniahub::pooling
 {
 
@@ -41,6 +43,22 @@
     return "unknown";
 }
 
+std::string_view to_string(const connect_failure& failure)
+{
+    switch (failure.cause)
+    {
+    case connect_failure::reason::refused:
+        return "refused";
+    case connect_failure::reason::silent:
+        return "silent";
+    case connect_failure::reason::rejected:
+        return to_string(failure.code);
+    case connect_failure::reason::lost:
+        break;
+    }
+    return "lost";
+}
+
 verdict verdict_of(reply_code code)
 {
     switch (code)
--- a/src/pooling/ports.hpp
+++ b/src/pooling/ports.hpp
@@ -74,6 +74,9 @@
     reply_code code = reply_code::none;
 };
 
+/// @brief Word for a failure: the member's code, or how the attempt ended.
+std::string_view to_string(const connect_failure& failure);
+
 using connect_result =
     tl::expected<std::unique_ptr<member_connection>, connect_failure>;
 
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -335,6 +335,7 @@
 void service_gateway::on_peer_position(
     time_point asked_at, duration age, log_position position)
 {
+    ++positions_received_;
     // The other host answered after it was asked, so the position is at most
     // this old.
     samples_.add(asked_at - age, position);
@@ -436,6 +437,7 @@
     auto lease = co_await acquire_for_sample();
     if (lease)
     {
+        ++samples_taken_;
         const auto sent_at = clock::now();
         const auto answer =
             co_await lease.run({.kind = command_kind::begin}, command_timeout);
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -149,6 +149,20 @@
     {
         return opener_.opened();
     }
+    const std::map<std::string_view, std::uint64_t>& failed_connections() const
+    {
+        return opener_.failures();
+    }
+    /// @brief Positions that this host sampled at the primary.
+    std::uint64_t samples_taken() const
+    {
+        return samples_taken_;
+    }
+    /// @brief Positions that other hosts sent.
+    std::uint64_t positions_received() const
+    {
+        return positions_received_;
+    }
     time_point newest_sample_at() const
     {
         return samples_.newest_sample_time();
@@ -218,6 +232,8 @@
     /// Customer whose connection the sampler uses.
     std::string last_customer_;
     std::uint64_t request_count_ = 0;
+    std::uint64_t samples_taken_ = 0;
+    std::uint64_t positions_received_ = 0;
 };
 
 } // namespace zinniahub::pooling
