Reproduce a promotion undone by a late confirmation

An order that confirms the primary is carried out like any other. If it gets no reply and an order of an earlier holder promotes another member first, it promotes the old primary again, without the commits made in between.

--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -438,6 +438,34 @@
     }
 }
 
+// Guards against an order that confirms the primary, gets no reply, and is
+// carried out after an earlier order has promoted another member: the commits
+// of that member are lost.
+TEST(failover_planner, late_confirmation_does_not_undo_a_promotion)
+{
+    service_model model;
+    model.run(1s);
+    model.members_["a"].unreachable = true;
+    for (int tick = 0; tick < 60 && model.late_orders_.empty(); ++tick)
+    {
+        model.tick(50ms, true);
+    }
+    ASSERT_EQ(model.late_orders_.size(), 1U);
+    model.members_["a"].unreachable = false;
+    model.transfer_duty();
+    for (int tick = 0; tick < 60; ++tick)
+    {
+        model.tick(50ms, true);
+    }
+    model.not_replicating_ = {"a"};
+    for (const auto& order : model.late_orders_)
+    {
+        model.execute(order);
+        model.commit();
+    }
+    EXPECT_FALSE(model.commit_lost_);
+}
+
 // Guards against a service that stays without a primary until the unreachable
 // one returns, because the new duty holder has never received its status.
 TEST(failover_planner, new_duty_holder_replaces_an_unreachable_primary)
