End a failover with the promotion, whatever was paused before

A failover ended when a primary had a term above all that its holder had seen, among them the terms of pauses that an earlier holder had left. The new primary's term is only above those that the members hold, so the failover went on, took the new primary for an unfit candidate and promoted a second member over it.

The end of a failover now depends on the terms that the members hold; the terms of pauses only raise the term of the next pause.

failover_planner.promotes_once_after_an_earlier_holder_has_paused failed before (still changing, another primary) and passes now.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -132,9 +132,11 @@
 /// it then replaces a primary that it has never seen only after all others that
 /// it knows have answered for some time and none is the primary.
 ///
-/// A paused replica resumes only after an order that confirms the current
-/// primary, because an earlier order may still be executed.
-/// All functions are linear in the number of members.
+/// A host that acquires the duty and finds all replicas but one paused
+/// completes the failover of an earlier holder: an order for that replica may
+/// still be executed, and until then no other member may be promoted. Otherwise
+/// a paused replica resumes only after an order that confirms the current
+/// primary. All functions are linear in the number of members.
 class failover_planner
 {
 public:
@@ -281,7 +283,9 @@
     bool covers_ended_members(const member_state& candidate) const;
     void update_incomplete_group(time_point now);
     bool no_member_is_primary(time_point now) const;
+    /// Highest term of the members, without those of pauses.
     std::uint64_t newest_term() const;
+    std::uint64_t newest_paused_term() const;
     void query_members(std::vector<failover_step>& steps, time_point now);
     bool needs_failover(time_point now);
     bool primary_is_lost(time_point now) const;
@@ -293,6 +297,7 @@
     bool a_paused_replica_is_ahead(const member_state& candidate) const;
     /// Keeps or replaces the candidate.
     const member_state* update_candidate(bool primary_responds, time_point now);
+    bool replicas_are_paused(time_point now) const;
     void start_failover(time_point now);
     void continue_failover(std::vector<failover_step>& steps, time_point now);
     bool is_other_replica(
@@ -331,9 +336,12 @@
     /// primary. A primary that is known from the record need not answer.
     std::optional<time_point> without_primary_since_;
     std::optional<time_point> stalled_since_;
-    /// Highest known term at the start of the failover; the new primary's term
-    /// must be greater.
+    /// Highest term of the members at the start of the failover; the new
+    /// primary's term is greater.
     std::uint64_t previous_term_ = 0;
+    /// Term with which replicas are paused, greater than that of all pauses by
+    /// earlier holders of the duty.
+    std::uint64_t pause_term_ = 0;
     time_point failover_started_at_ = time_point::min();
     /// Member to promote.
     std::string candidate_;
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -265,13 +265,37 @@
     {
         if (member.status)
         {
-            newest = std::max(
-                {newest, member.status->term, member.status->paused_term});
+            newest = std::max(newest, member.status->term);
         }
     }
     return newest;
 }
 
+std::uint64_t failover_planner::newest_paused_term() const
+{
+    std::uint64_t newest = 0;
+    for (const auto& [instance, member] : members_)
+    {
+        if (member.status)
+        {
+            newest = std::max(newest, member.status->paused_term);
+        }
+    }
+    return newest;
+}
+
+bool failover_planner::replicas_are_paused(time_point now) const
+{
+    return std::any_of(
+        members_.begin(), members_.end(),
+        [this, now](const auto& entry)
+        {
+            const auto& member = entry.second;
+            return entry.first != primary_ && is_fresh(member, now) &&
+                   is_paused(member);
+        });
+}
+
 const failover_planner::member_state*
 failover_planner::current_primary(time_point now) const
 {
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -294,7 +294,7 @@
 void failover_planner::pause_other_replicas(
     std::vector<failover_step>& steps, time_point now)
 {
-    const auto term = previous_term_ + 1;
+    const auto term = pause_term_;
     for (auto& [instance, member] : members_)
     {
         const bool paused =
@@ -326,7 +326,7 @@
                    return !is_other_replica(
                               member, candidate.definition.instance) ||
                           (is_recent(member) &&
-                           member.status->paused_term > previous_term_);
+                           member.status->paused_term >= pause_term_);
                });
 }
 
@@ -364,6 +364,7 @@
 {
     phase_ = phase::changing;
     previous_term_ = newest_term();
+    pause_term_ = std::max(previous_term_, newest_paused_term()) + 1;
     failover_started_at_ = now;
     candidate_.clear();
     candidate_behind_since_.reset();
@@ -425,7 +426,7 @@
         {
             next_step_down_ = now + settings_.urgent_interval;
             steps.emplace_back(
-                failover_action::step_down{primary_, previous_term_ + 1});
+                failover_action::step_down{primary_, pause_term_});
         }
         return;
     }
@@ -489,22 +490,11 @@
     update_incomplete_group(now);
     if (phase_ == phase::steady)
     {
-        const auto* primary = current_primary(now);
-        const bool replicas_paused =
-            primary != nullptr &&
-            std::any_of(
-                members_.begin(), members_.end(),
-                [this, now](const auto& entry)
-                {
-                    return entry.first != primary_ &&
-                           is_fresh(entry.second, now) &&
-                           entry.second.status->paused_term > primary_term_;
-                });
         if (needs_failover(now))
         {
             start_failover(now);
         }
-        else if (replicas_paused)
+        else if (current_primary(now) != nullptr && replicas_are_paused(now))
         {
             start_restoring(now);
         }
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -438,6 +438,29 @@
     }
 }
 
+// Guards against a failover that does not end with the promotion, because an
+// earlier holder of the duty had paused replicas: a second member was then
+// promoted over the new primary.
+TEST(failover_planner, promotes_once_after_an_earlier_holder_has_paused)
+{
+    service_model model;
+    model.run(1s);
+    model.members_["a"].unreachable = true;
+    for (int tick = 0; tick < 60 && model.late_orders_.empty(); ++tick)
+    {
+        model.tick(50ms, true);
+    }
+    ASSERT_EQ(model.late_orders_.size(), 1U);
+    model.transfer_duty();
+    model.run(4s);
+    const auto promoted = model.primary_name();
+    EXPECT_NE(promoted, "a");
+    EXPECT_EQ(model.planner_.state(), "steady");
+    model.run(5s);
+    EXPECT_EQ(model.primary_name(), promoted);
+    EXPECT_FALSE(model.commit_lost_);
+}
+
 // Guards against an order that confirms the primary, gets no reply, and is
 // carried out after an earlier order has promoted another member: the commits
 // of that member are lost.
