Complete the failover of an earlier holder instead of undoing it

A new holder that found replicas paused confirmed the old primary, so that they could resume. An order of the earlier holder without a reply could still promote its candidate first; the confirming order, carried out late, then promoted the old primary again.

All replicas but the candidate are paused during a failover, so the one that is not paused is the member that an earlier order may name. The new holder now goes on with it: every order in flight names the same member, and all others are paused. Only where no single replica is left does it confirm the primary, as before.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -297,7 +297,11 @@
     bool a_paused_replica_is_ahead(const member_state& candidate) const;
     /// Keeps or replaces the candidate.
     const member_state* update_candidate(bool primary_responds, time_point now);
+    bool all_have_answered() const;
+    /// Candidate of a failover that an earlier holder of the duty started.
+    const member_state* inherited_candidate(time_point now) const;
     bool replicas_are_paused(time_point now) const;
+    void handle_paused_replicas(time_point now);
     void start_failover(time_point now);
     void continue_failover(std::vector<failover_step>& steps, time_point now);
     bool is_other_replica(
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -284,6 +284,18 @@
     return newest;
 }
 
+bool failover_planner::all_have_answered() const
+{
+    return std::all_of(
+        members_.begin(), members_.end(),
+        [](const auto& entry)
+        {
+            const auto& member = entry.second;
+            return member.status || member.unresponsive_since ||
+                   has_shut_down(member);
+        });
+}
+
 bool failover_planner::replicas_are_paused(time_point now) const
 {
     return std::any_of(
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -374,6 +374,44 @@
     next_promotion_ = now;
 }
 
+const failover_planner::member_state*
+failover_planner::inherited_candidate(time_point now) const
+{
+    const member_state* found = nullptr;
+    for (const auto& [instance, member] : members_)
+    {
+        if (instance == primary_ || has_shut_down(member) ||
+            (is_fresh(member, now) && is_paused(member)))
+        {
+            continue;
+        }
+        if (found != nullptr)
+        {
+            return nullptr;
+        }
+        found = &member;
+    }
+    return found != nullptr && is_fresh(*found, now) &&
+                   !found->definition.leaving && !found->status->primary
+               ? found
+               : nullptr;
+}
+
+void failover_planner::handle_paused_replicas(time_point now)
+{
+    const auto* candidate = inherited_candidate(now);
+    if (candidate == nullptr)
+    {
+        start_restoring(now);
+        return;
+    }
+    reason_ = "inherited";
+    start_failover(now);
+    candidate_ = candidate->definition.instance;
+    order_sent_ = true;
+    order_unknown_ = true;
+}
+
 void failover_planner::start_restoring(time_point now)
 {
     phase_ = phase::restoring;
@@ -494,9 +532,11 @@
         {
             start_failover(now);
         }
-        else if (current_primary(now) != nullptr && replicas_are_paused(now))
+        else if (
+            current_primary(now) != nullptr && replicas_are_paused(now) &&
+            all_have_answered())
         {
-            start_restoring(now);
+            handle_paused_replicas(now);
         }
     }
     if (phase_ == phase::changing)
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -751,7 +751,7 @@
                     break;
                 case 1:
                     // A restarted member keeps its log, but is not paused.
-                    if (!state.running && model.late_orders_.empty())
+                    if (!state.running)
                     {
                         state.running = true;
                         state.paused_term = 0;
