Mend what the review of the promotions found

- A member that crashed for good without announcing it stayed in the group for ever and blocked all promotions.
One that is not registered and has answered nothing for 60 s now counts as exited; its log must be covered like that of others. retires_a_member_that_never_returns_late is new with it.
- An order that was given up because the lease was not valid for a moment got no result, so that no further order followed in that tenure.
- An order that the platform refused for its rate counted as one that may still be carried out, so that a healthy primary was told to step down.
- A member that refuses a connection because it has too many counted as silent, so that a full primary was replaced.
- A confirming order is checked again after its token was written.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -38,6 +38,7 @@
     /// The registration has disappeared, and another member has the address:
     /// the member has exited.
     bool replaced = false;
+    bool registered = true;
 };
 
 namespace failover_action
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -35,6 +35,18 @@
     return value / std::chrono::milliseconds(1);
 }
 
+/// @param code result of an order; zero if it was accepted
+promotion_result outcome_of(errc code)
+{
+    if (code == errc{})
+    {
+        return promotion_result::accepted;
+    }
+    const bool not_executed =
+        code == errc::conflict || code == errc::platform_rate_limited;
+    return not_executed ? promotion_result::refused : promotion_result::unknown;
+}
+
 } // namespace
 
 /// Connection for status queries and pauses, with at most one call in
@@ -391,6 +403,7 @@
     // lost in the meantime.
     auto link = std::move(control->link);
     bool refused = false;
+    bool is_full = false;
     if (link == nullptr || !link->is_open())
     {
         auto opened = co_await connector_.connect(target, connect_timeout);
@@ -404,6 +417,7 @@
             refused = opened.error().cause ==
                           pooling::connect_failure::reason::refused ||
                       opened.error().code == pooling::reply_code::misrouted;
+            is_full = opened.error().code == pooling::reply_code::too_many;
             link.reset();
         }
     }
@@ -427,8 +441,9 @@
         log_replication(service, instance, *control, *answer->status_row);
         state.planner.on_status(instance, *answer->status_row, sent_at, now);
     }
-    else if (!answer)
+    else if (!answer && !is_full)
     {
+        // A member that has too many connections is running.
         state.planner.on_no_status(instance, refused, now);
     }
     if (control->queued_command && is_leader(now))
@@ -474,15 +489,18 @@
     auto outcome = promotion_result::unknown;
     const auto token =
         co_await fencing_token_for(services_[service], value.instance);
-    if (epoch != lease_.epoch() || !is_leader(clock::now()))
+    if (epoch != lease_.epoch())
     {
         co_return;
     }
     auto& planner = services_[service].planner;
-    if (!value.confirms_primary &&
-        !planner.is_order_justified(value.instance, clock::now()))
+    const bool justified =
+        value.confirms_primary
+            ? planner.known_primary() == value.instance
+            : planner.is_order_justified(value.instance, clock::now());
+    if (!justified || !is_leader(clock::now()))
     {
-        // The members changed while the token was written.
+        // The members or the duty changed while the token was written.
         planner.on_promotion_result(promotion_result::refused, clock::now());
         co_return;
     }
@@ -494,9 +512,7 @@
         const auto answer = co_await platform_.promote(
             service, value.instance, settings_.host, *token);
         code = answer ? errc{} : answer.error().code;
-        outcome = answer ? promotion_result::accepted
-                         : (code == errc::conflict ? promotion_result::refused
-                                                   : promotion_result::unknown);
+        outcome = outcome_of(code);
     }
     else
     {
--- a/src/coordination/promotion_groups.cpp
+++ b/src/coordination/promotion_groups.cpp
@@ -157,7 +157,8 @@
                         directory_.is_evacuated(member.failure_domain),
              .shutdown_announced = member.draining && !registered,
              .replaced =
-                 !registered && directory_.is_address_used(member.address)});
+                 !registered && directory_.is_address_used(member.address),
+             .registered = registered});
     }
     return members;
 }
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -10,9 +10,9 @@
 namespace
 {
 
-/// Time after which a member that announced its shutdown and neither answers
-/// nor refuses connections has exited. It receives commits until it exits,
-/// which may be many seconds after the announcement.
+/// Time after which a member that is not registered and answers nothing has
+/// exited. It may receive commits until it exits, which may be many seconds
+/// after it announced its shutdown.
 constexpr duration shutdown_limit = std::chrono::seconds(60);
 
 } // namespace
@@ -164,8 +164,9 @@
     const auto* primary = current_primary(now);
     for (auto& [instance, member] : members_)
     {
-        const bool silent = member.definition.shutdown_announced &&
-                            member.unresponsive_since &&
+        const bool unregistered = member.definition.shutdown_announced ||
+                                  !member.definition.registered;
+        const bool silent = unregistered && member.unresponsive_since &&
                             now - *member.unresponsive_since >= shutdown_limit;
         if (!has_shut_down(member) && !silent)
         {
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -54,7 +54,8 @@
             known.push_back(
                 {.instance = name,
                  .leaving = leaving_.contains(name),
-                 .shutdown_announced = shutting_down_.contains(name)});
+                 .shutdown_announced = shutting_down_.contains(name),
+                 .registered = !unregistered_.contains(name)});
         }
         planner_.on_members(known, 1);
     }
@@ -266,6 +267,7 @@
     /// Members that announced their shutdown and whose registration is
     /// missing.
     std::set<std::string> shutting_down_;
+    std::set<std::string> unregistered_;
     /// Replicas that receive nothing from the primary.
     std::set<std::string> not_replicating_;
     std::vector<late_order> late_orders_;
@@ -598,6 +600,21 @@
     EXPECT_EQ(model.planner_.retired_members(), std::vector<std::string>{"c"});
 }
 
+// Guards against a group that keeps a member for ever which has crashed for
+// good, so that nobody is promoted any more.
+TEST(failover_planner, retires_a_member_that_never_returns_late)
+{
+    service_model model;
+    model.run(1s);
+    model.members_["c"].running = false;
+    model.unregistered_ = {"c"};
+    model.update_planner();
+    model.run(59s);
+    EXPECT_TRUE(model.planner_.retired_members().empty());
+    model.run(3s);
+    EXPECT_EQ(model.planner_.retired_members(), std::vector<std::string>{"c"});
+}
+
 // Guards against replicas that stay paused after the primary returns.
 TEST(failover_planner, releases_replicas_when_the_primary_is_back)
 {
