--- a/tests/support/hosted_store.hpp
+++ b/tests/support/hosted_store.hpp
@@ -139,7 +139,8 @@
     answer grant(const nlohmann::json& body);
     void expire_locked();
     void write_locked(
-        const std::string& key, const std::string& value, std::uint64_t lease_id);
+        const std::string& key, const std::string& value,
+        std::uint64_t lease_id);
     void remove_locked(const std::string& key);
 
     mutable std::mutex mutex_;
