--- a/src/coordination/host_registry.cpp
+++ b/src/coordination/host_registry.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
 
 namespace zinniahub::coordination
 {
@@ -122,6 +123,7 @@
     const auto lease = co_await store_.grant_lease(settings_.ttl);
     if (!lease)
     {
+        log_failed_call("grant_lease", lease.error());
         co_return false;
     }
     store_transaction change;
@@ -130,6 +132,7 @@
     const auto written = co_await store_.commit(change);
     if (!written)
     {
+        log_failed_call("write_registration", written.error());
         co_return false;
     }
     lease_id_ = lease->id;
@@ -141,6 +144,19 @@
     co_return true;
 }
 
+void host_registry::log_failed_call(std::string_view call, const error& failure)
+{
+    auto text = fmt::format("{} {}", call, to_string(failure.code));
+    if (text == logged_failure_)
+    {
+        return;
+    }
+    logged_failure_ = std::move(text);
+    events_.write(
+        "registration_call_failed",
+        {{"call", call}, {"error", to_string(failure.code)}});
+}
+
 awaitable<bool> host_registry::renew_lease()
 {
     const auto sent_at = lease_clock::on_request_sent(clock::now());
@@ -148,9 +164,11 @@
     if (ttl)
     {
         lease_.on_granted(sent_at, *ttl);
+        logged_failure_.clear();
         on_changed_();
         co_return true;
     }
+    log_failed_call("renew_lease", ttl.error());
     if (ttl.error().code == errc::lease_expired)
     {
         events_.write("host_registration_lost", {{"lease", lease_id_}});
--- a/src/coordination/host_registry.hpp
+++ b/src/coordination/host_registry.hpp
@@ -90,6 +90,8 @@
     awaitable<bool> register_host();
     awaitable<bool> renew_lease();
     void update_peer_addresses();
+    /// Logs a failed call unless the one before failed in the same way.
+    void log_failed_call(std::string_view call, const error& failure);
 
     boost::asio::io_context& io_;
     store& store_;
@@ -108,6 +110,8 @@
     };
     std::map<std::string, registration, std::less<>> registrations_;
     std::vector<std::string> peer_addresses_;
+    /// Last logged failure of a call; empty after a success.
+    std::string logged_failure_;
 };
 
 } // namespace zinniahub::coordination
--- a/src/coordination/rate_limiter.cpp
+++ b/src/coordination/rate_limiter.cpp
@@ -216,6 +216,11 @@
                : owned;
 }
 
+std::uint32_t rate_limiter::usable_share() const
+{
+    return hosts_.valid_until() > clock::now() ? usable_parts().size() : 0;
+}
+
 void rate_limiter::apply_share()
 {
     for (auto& [name, customer] : customers_)
--- a/src/coordination/rate_limiter.hpp
+++ b/src/coordination/rate_limiter.hpp
@@ -50,6 +50,9 @@
     bool try_admit(std::string_view customer) override;
     void refund(std::string_view customer) override;
 
+    /// @brief Number of parts of the rate limits that this host may use now.
+    std::uint32_t usable_share() const;
+
     struct customer_counters
     {
         std::string customer;
