--- a/tests/support/hosted_proxy.cpp
+++ b/tests/support/hosted_proxy.cpp
@@ -25,6 +25,8 @@
 namespace
 {
 
+constexpr unsigned default_evacuation_ms = 5000;
+
 std::string next_id()
 {
     static std::atomic<unsigned> count{0};
@@ -145,7 +147,8 @@
     log_path_ = folder / "log";
     store_ = const_cast<hosted_platform&>(platform).store().address();
     tokens_checked_ = platform.tokens_checked();
-    write_settings(5000);
+    internal_port_ = endpoint_of(free_address()).port();
+    write_settings(default_evacuation_ms);
     restart();
 }
 
@@ -156,7 +159,7 @@
         R"(node_name = "{}"
 zone = "zone-0"
 ip_address = "127.0.0.1"
-internal_port_range = [0, 0]
+internal_port_range = [{}, {}]
 [listen_addrs]
 frontend = "{}"
 ready = "{}"
@@ -174,11 +177,17 @@
 address = "{}"
 assigned_tasks = ["promotion"]
 )",
-        name_, address_, ready_, evacuation_ms, tokens_checked_, store_,
-        store_);
+        name_, internal_port_, internal_port_, address_, ready_, evacuation_ms,
+        tokens_checked_, store_, store_);
     std::filesystem::rename(written, settings_path_);
 }
 
+void hosted_proxy::set_store(const std::string& address)
+{
+    store_ = address;
+    write_settings(default_evacuation_ms);
+}
+
 void hosted_proxy::restart()
 {
     child_ = process::start(
--- a/tests/support/hosted_proxy.hpp
+++ b/tests/support/hosted_proxy.hpp
@@ -93,12 +93,17 @@
     void restart();
     /// @brief Writes the settings file with another bound for evacuations.
     void write_settings(unsigned evacuation_ms);
+    /// @brief Writes the settings file with another address of the store; takes
+    /// effect with the next start.
+    void set_store(const std::string& address);
 
 private:
     std::string name_;
     std::string address_;
     std::string ready_;
     std::string store_;
+    /// Port for datagrams and connections between the proxies.
+    unsigned short internal_port_ = 0;
     bool tokens_checked_ = true;
     std::string settings_path_;
     std::string log_path_;
