Register a restarted host by what it reads, not by answers to writes

What callers saw: after a kill of all hosts every request was refused (too_many, rate_exceeded) for as long as the store carried out writes without answering them; a start needed the answers to two writes in a row, each lost one cost 1.45 s, and a lost second one began with a new lease.

Evidence: serving_changed missing=registration,rate_share on all hosts 0.1 s after the start, registration_call_failed grant_lease and write_registration with reply_timeout in turn, while the hosts had read their parts and the registrations that their predecessors had left.

Change: registration_planner (pure) takes over the lease of the predecessor's registration and writes the registration again under it, at the revision read; that it was executed shows in the next read. Calls without an answer are repeated while the earlier ones may still be answered. A read of the registration proves for 8 s that the parts of the limits are this host's; so parts are taken from another host 9 s after its registration was read as ended, where this was done at once. A planned stop removes the registration at its revision instead of ending the lease, which the next process takes over.

--- a/include/zinniahub/rate_ledger.hpp
+++ b/include/zinniahub/rate_ledger.hpp
@@ -2,6 +2,7 @@
 
 #include <zinniahub/part_ranges.hpp>
 #include <zinniahub/rate_share.hpp>
+#include <zinniahub/registration_planner.hpp>
 #include <zinniahub/time.hpp>
 
 #include <cstdint>
@@ -54,9 +55,10 @@
 ///
 /// Registered hosts get equal shares. Half a share is left unassigned for a
 /// host that joins, because a share is removed only from a host whose
-/// registration has ended. Only a host itself lowers its share. It stops using
-/// the difference before it writes the lower share, and uses a higher share
-/// only after that was written, so no part is in use by two hosts.
+/// registration ended a while ago: until then that host may still rely on its
+/// last read of the registration. Only a host itself lowers its share. It stops
+/// using the difference before it writes the lower share, and uses a higher
+/// share only after that was written, so no part is in use by two hosts.
 class share_planner
 {
 public:
@@ -68,6 +70,10 @@
         duration settle_time = std::chrono::milliseconds(700);
         /// Time after which a host without a share assigns one to itself.
         duration self_assign_delay = std::chrono::milliseconds(1500);
+        /// Time from reading that a registration has ended until the share of
+        /// the host is removed.
+        duration removal_delay =
+            registration_read_validity + std::chrono::seconds(1);
         /// Maximum number of hosts that one change removes.
         std::size_t max_removed_hosts = 24;
     };
@@ -88,16 +94,20 @@
     static std::uint32_t equal_share(std::size_t hosts);
     share_change assign_free_shares(
         const std::set<std::string>& hosts, const rate_shares& shares,
-        bool only_self) const;
+        bool only_self, time_point now) const;
     std::optional<share_change> remove_shares_without_ranges(
         const std::set<std::string>& hosts, const rate_shares& shares) const;
+    void update_ended_hosts(
+        const std::set<std::string>& hosts, const rate_shares& shares,
+        time_point now);
     void remove_ended_hosts(
-        share_change& change, const std::set<std::string>& hosts,
-        std::uint32_t needed) const;
+        share_change& change, std::uint32_t needed, time_point now) const;
 
     settings settings_;
     std::set<std::string> hosts_;
     time_point hosts_changed_at_ = time_point::min();
+    /// Hosts that hold a share without a registration, and since when.
+    std::map<std::string, time_point, std::less<>> ended_since_;
     std::optional<time_point> without_share_since_;
 };
 
--- a/src/coordination/host_registry.hpp
+++ b/src/coordination/host_registry.hpp
@@ -3,9 +3,10 @@
 #include "coordination/store.hpp"
 #include "observability/event_log.hpp"
 
-#include <zinniahub/lease.hpp>
+#include <zinniahub/registration_planner.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -34,13 +35,19 @@
         std::string address;
         /// Long enough to outlast an outage of the store.
         duration ttl = std::chrono::seconds(30);
-        duration renew_interval = std::chrono::seconds(5);
-        duration retry_interval = std::chrono::milliseconds(250);
+    };
+
+    struct handlers
+    {
+        /// This host's registration, or its validity, has changed.
+        std::function<void()> on_changed;
+        /// @return time before the last successful read of the registrations
+        std::function<time_point()> read_at;
     };
 
     host_registry(
         boost::asio::io_context& io, store& target, settings values,
-        std::function<void()> on_changed, log::event_log& events);
+        handlers callbacks, log::event_log& events);
 
     void start();
 
@@ -52,6 +59,8 @@
         registrations_.clear();
         peer_addresses_.clear();
     }
+    /// @brief All items of a listing or of a batch of changes were applied.
+    void on_batch_applied();
 
     /// @brief Registered hosts.
     std::set<std::string> hosts() const;
@@ -62,22 +71,21 @@
     }
     /// @brief Address of a registered host; empty if it is not registered.
     std::string address_of(std::string_view host) const;
-    /// @brief Revision of a host's registration, 0 if there is none.
-    std::uint64_t revision_of(std::string_view host) const;
-
-    /// @brief Time until which the registration is known to be valid; min()
+    /// @brief Time until which the rate shares of this host belong to it; min()
     /// until the host has read its own registration back from the store, and
     /// with it every earlier change.
     time_point valid_until() const
     {
-        return revision_of(settings_.host) >= registration_revision_ &&
-                       lease_id_ != 0
-                   ? lease_.valid_until()
-                   : time_point::min();
+        return planner_.valid_until(handlers_.read_at());
     }
-    std::uint64_t lease_id() const
+
+    /// @brief The registrations were read recently enough to decide which of
+    /// them have ended.
+    bool is_current(time_point now) const
     {
-        return lease_id_;
+        const auto read_at = handlers_.read_at();
+        return read_at != time_point::min() &&
+               now - read_at < registration_read_validity;
     }
 
     /// @brief Ends the registration; the host is stopping.
@@ -87,8 +95,14 @@
 
 private:
     awaitable<void> maintain_registration();
-    awaitable<bool> register_host();
-    awaitable<bool> renew_lease();
+    awaitable<void> perform(registration_planner::action action);
+    awaitable<void> grant_lease();
+    awaitable<void> renew_lease(std::uint64_t lease);
+    awaitable<void>
+    write_registration(std::uint64_t lease, std::uint64_t expected_revision);
+    void on_lease_ended(std::uint64_t lease);
+    /// Lets the planner decide again.
+    void wake();
     void update_peer_addresses();
     /// Logs a failed call unless the one before failed in the same way.
     void log_failed_call(std::string_view call, const error& failure);
@@ -96,19 +110,14 @@
     boost::asio::io_context& io_;
     store& store_;
     settings settings_;
-    std::function<void()> on_changed_;
+    handlers handlers_;
     log::event_log& events_;
-    lease_clock lease_;
-    std::uint64_t lease_id_ = 0;
-    /// Revision of the registration.
-    std::uint64_t registration_revision_ = 0;
+    registration_planner planner_;
+    boost::asio::steady_timer timer_;
     bool leaving_ = false;
-    struct registration
-    {
-        std::uint64_t revision = 0;
-        std::string address;
-    };
-    std::map<std::string, registration, std::less<>> registrations_;
+    /// The registration was written, as of the last batch.
+    bool was_written_ = false;
+    std::map<std::string, host_registration, std::less<>> registrations_;
     std::vector<std::string> peer_addresses_;
     /// Last logged failure of a call; empty after a success.
     std::string logged_failure_;
--- a/src/coordination/rate_limiter.cpp
+++ b/src/coordination/rate_limiter.cpp
@@ -223,6 +223,7 @@
 
 void rate_limiter::apply_share()
 {
+    applied_valid_until_ = hosts_.valid_until();
     for (auto& [name, customer] : customers_)
     {
         apply_share(name, customer);
@@ -506,9 +507,12 @@
         timer.expires_after(adjust_interval);
         co_await timer.async_wait(asio::use_awaitable);
         const auto now = clock::now();
-        if (hosts_.valid_until() <= now)
+        if (hosts_.valid_until() != applied_valid_until_)
         {
             apply_share();
+        }
+        if (hosts_.valid_until() <= now || !hosts_.is_current(now))
+        {
             continue;
         }
         auto change = planner_.on_tick(hosts_.hosts(), shares_, now);
--- a/src/coordination/rate_limiter.hpp
+++ b/src/coordination/rate_limiter.hpp
@@ -143,6 +143,8 @@
     share_planner planner_;
     rate_shares shares_;
     std::uint64_t shares_revision_ = 0;
+    /// End of the registration that the accounts were last given.
+    time_point applied_valid_until_ = time_point::min();
     /// This host's parts according to a change that is being written. Only
     /// parts that it owns before and after the change may be used.
     std::optional<part_ranges> parts_being_written_;
--- a/src/lib/rate_ledger.cpp
+++ b/src/lib/rate_ledger.cpp
@@ -113,26 +113,41 @@
                                    : std::optional(std::move(change));
 }
 
-void share_planner::remove_ended_hosts(
-    share_change& change, const std::set<std::string>& hosts,
-    std::uint32_t needed) const
+void share_planner::update_ended_hosts(
+    const std::set<std::string>& hosts, const rate_shares& shares,
+    time_point now)
 {
-    auto free = change.shares.free_ranges().size();
-    std::vector<std::string> ended;
-    for (const auto& [host, ranges] : change.shares.by_host)
+    std::erase_if(
+        ended_since_,
+        [&](const auto& entry)
+        {
+            return hosts.contains(entry.first) ||
+                   !shares.by_host.contains(entry.first);
+        });
+    for (const auto& [host, ranges] : shares.by_host)
     {
         if (!hosts.contains(host))
         {
-            ended.push_back(host);
+            ended_since_.try_emplace(host, now);
         }
     }
-    for (const auto& host : ended)
+}
+
+void share_planner::remove_ended_hosts(
+    share_change& change, std::uint32_t needed, time_point now) const
+{
+    auto free = change.shares.free_ranges().size();
+    for (const auto& [host, since] : ended_since_)
     {
         if (free >= needed ||
             change.removed_hosts.size() == settings_.max_removed_hosts)
         {
             return;
         }
+        if (now - since < settings_.removal_delay)
+        {
+            continue;
+        }
         free += change.shares.share_of(host);
         change.removed_hosts.push_back(host);
         change.shares.by_host.erase(host);
@@ -141,7 +156,7 @@
 
 share_change share_planner::assign_free_shares(
     const std::set<std::string>& hosts, const rate_shares& shares,
-    bool only_self) const
+    bool only_self, time_point now) const
 {
     share_change change{shares, {}};
     const auto target = equal_share(hosts.size());
@@ -152,7 +167,7 @@
         const bool filled = only_self && host != settings_.host;
         needed += filled || held >= target ? 0 : target - held;
     }
-    remove_ended_hosts(change, hosts, needed);
+    remove_ended_hosts(change, needed, now);
     auto free = change.shares.free_ranges();
     for (const auto& host : hosts)
     {
@@ -180,6 +195,7 @@
         hosts_ = hosts;
         hosts_changed_at_ = now;
     }
+    update_ended_hosts(hosts, shares, now);
     const auto held = shares.share_of(settings_.host);
     if (held > 0)
     {
@@ -204,7 +220,7 @@
         now - *without_share_since_ >= settings_.self_assign_delay;
     if ((is_first && settled) || self_assign_due)
     {
-        auto change = assign_free_shares(hosts, shares, !is_first);
+        auto change = assign_free_shares(hosts, shares, !is_first, now);
         if (change.shares != shares)
         {
             return change;
