Count every unanswered change of the rate shares, and gaps between ticks

The property test of the limits now also checks that no part has two users, and plays renewals without an answer and reads that prove a registration. It found two ways to a part with two users:

- A second change of the shares was written while the first may still have been executed: the host then used parts that the first one gave up.
Only parts that the host owns after each change of the same revision are used now.
- A planner that did not tick for longer than the delay of a removal missed that a host was registered again in between.
After such a gap the delay starts anew.

--- a/include/zinniahub/rate_ledger.hpp
+++ b/include/zinniahub/rate_ledger.hpp
@@ -108,6 +108,7 @@
     time_point hosts_changed_at_ = time_point::min();
     /// Hosts that hold a share without a registration, and since when.
     std::map<std::string, time_point, std::less<>> ended_since_;
+    time_point last_tick_at_ = time_point::min();
     std::optional<time_point> without_share_since_;
 };
 
--- a/src/coordination/rate_limiter.cpp
+++ b/src/coordination/rate_limiter.cpp
@@ -525,7 +525,12 @@
 
 awaitable<void> rate_limiter::write_shares(share_change change)
 {
-    parts_being_written_ = change.shares.ranges_of(host_);
+    const auto& own = change.shares.ranges_of(host_);
+    // An earlier change may have been executed without an answer.
+    parts_being_written_ =
+        parts_being_written_
+            ? intersection(own, *parts_being_written_, rate_shares::total_parts)
+            : own;
     replaced_revision_ = shares_revision_;
     apply_share();
     store_transaction request;
--- a/src/coordination/rate_limiter.hpp
+++ b/src/coordination/rate_limiter.hpp
@@ -145,8 +145,8 @@
     std::uint64_t shares_revision_ = 0;
     /// End of the registration that the accounts were last given.
     time_point applied_valid_until_ = time_point::min();
-    /// This host's parts according to a change that is being written. Only
-    /// parts that it owns before and after the change may be used.
+    /// This host's parts according to all changes that may still be executed.
+    /// Only parts that it owns before and after each of them may be used.
     std::optional<part_ranges> parts_being_written_;
     /// Revision that this change replaces. The change cannot take effect after
     /// a later revision.
--- a/src/lib/rate_ledger.cpp
+++ b/src/lib/rate_ledger.cpp
@@ -117,6 +117,13 @@
     const std::set<std::string>& hosts, const rate_shares& shares,
     time_point now)
 {
+    // Within a longer gap a host may have been registered again.
+    if (last_tick_at_ == time_point::min() ||
+        now - last_tick_at_ >= settings_.removal_delay)
+    {
+        ended_since_.clear();
+    }
+    last_tick_at_ = now;
     std::erase_if(
         ended_since_,
         [&](const auto& entry)
--- a/tests/unit/unit-lent_tokens.cpp
+++ b/tests/unit/unit-lent_tokens.cpp
@@ -24,6 +24,8 @@
 
 /// Shorter than in production, so that registrations end often.
 constexpr duration registration_ttl = 2s;
+constexpr duration read_validity = 1500ms;
+constexpr duration removal_delay = read_validity + 100ms;
 
 /// Uniform also in the first, small cases of a property.
 std::size_t random_between(std::size_t from, std::size_t to)
@@ -69,7 +71,10 @@
         , limiter_(allowance, limit, now)
         , requests_(first_id)
         , planner_(
-              {.host = name_, .settle_time = 0ms, .self_assign_delay = 300ms})
+              {.host = name_,
+               .settle_time = 0ms,
+               .self_assign_delay = 300ms,
+               .removal_delay = removal_delay})
     {
     }
 
@@ -81,19 +86,27 @@
             writing_.reset();
         }
     }
-    void set_valid_until(time_point until)
+    void extend_validity(time_point until)
     {
-        valid_until_ = until;
+        valid_until_ = std::max(valid_until_, until);
+    }
+    /// Parts that the host uses, whether it has a valid registration or not.
+    part_ranges parts() const
+    {
+        const auto owned =
+            view_ ? view_->shares.ranges_of(name_) : part_ranges{};
+        return writing_
+                   ? intersection(owned, *writing_, rate_shares::total_parts)
+                   : owned;
+    }
+    bool is_valid(time_point now) const
+    {
+        return valid_until_ > now;
     }
     void apply(time_point now)
     {
-        auto parts = view_ ? view_->shares.ranges_of(name_) : part_ranges{};
-        if (writing_)
-        {
-            parts = intersection(parts, *writing_, rate_shares::total_parts);
-        }
         limiter_.set_share(
-            count_portions(customer, parts) * rate_shares::total_parts /
+            count_portions(customer, parts()) * rate_shares::total_parts /
                 portions_per_limit,
             now, valid_until_);
     }
@@ -108,7 +121,12 @@
         auto change = planner_.on_tick(registered, view_->shares, now);
         if (change)
         {
-            writing_ = change->shares.ranges_of(name_);
+            const auto& own = change->shares.ranges_of(name_);
+            // An earlier change may have been executed without a reply.
+            writing_ =
+                writing_
+                    ? intersection(own, *writing_, rate_shares::total_parts)
+                    : own;
             apply(now);
         }
         return change;
@@ -227,6 +245,22 @@
         }
     }
 
+    /// @brief Whether no part is in use by two hosts.
+    bool has_one_user_of_each_part() const
+    {
+        part_ranges used;
+        std::uint32_t total = 0;
+        for (const auto& entry : hosts_)
+        {
+            if (entry.is_valid(now_))
+            {
+                total += entry.parts().size();
+                used.add(entry.parts());
+            }
+        }
+        return used.size() == total;
+    }
+
     /// @brief Operations admitted in the last window.
     std::size_t taken_in_window()
     {
@@ -283,13 +317,22 @@
             hosts_[number].see(current_);
         }
         registered_until_[number] = now_ + registration_ttl;
-        hosts_[number].set_valid_until(now_ + registration_ttl);
+        if (random_below(4) == 0)
+        {
+            return; // The reply is lost.
+        }
+        hosts_[number].extend_validity(now_ + registration_ttl);
         hosts_[number].apply(now_);
     }
 
+    /// Reads the shares and the registrations.
     void see_shares(std::size_t number)
     {
         hosts_[number].see(current_);
+        if (registered_until_[number] > now_)
+        {
+            hosts_[number].extend_validity(now_ + read_validity);
+        }
         hosts_[number].apply(now_);
     }
 
@@ -443,6 +486,7 @@
             for (int step = 0; step < 2500; ++step)
             {
                 fleet.step();
+                RC_ASSERT(fleet.has_one_user_of_each_part());
                 const auto in_window = fleet.taken_in_window();
                 highest = std::max(highest, in_window);
                 RC_ASSERT(static_cast<double>(in_window) <= window_limit);
