--- a/src/coordination/relay_offers.cpp
+++ b/src/coordination/relay_offers.cpp
@@ -26,13 +26,14 @@
 
 relay_offers::relay_offers(
     asio::io_context& io, datagram_transport& network,
-    const host_registry& hosts, std::string host, store_path_selector& paths)
+    const host_registry& hosts, std::string_view host,
+    store_path_selector& paths)
     : io_(io)
     , network_(network)
     , hosts_(hosts)
     , paths_(paths)
     // Hosts begin with different ones, so that the offers are spread.
-    , next_peer_(std::hash<std::string>{}(host))
+    , next_peer_(std::hash<std::string_view>{}(host))
 {
     network_.set_handler(
         offer_word, [this](std::string_view from, std::string_view text)
--- a/src/coordination/relay_offers.hpp
+++ b/src/coordination/relay_offers.hpp
@@ -24,7 +24,7 @@
 public:
     relay_offers(
         boost::asio::io_context& io, datagram_transport& network,
-        const host_registry& hosts, std::string host,
+        const host_registry& hosts, std::string_view host,
         store_path_selector& paths);
 
     /// @brief Starts to send offers.
