--- a/src/coordination/host_registry.cpp
+++ b/src/coordination/host_registry.cpp
@@ -128,8 +128,8 @@
         {
             asio::co_spawn(io_, perform(action), asio::detached);
         }
-        const auto next = std::clamp(
-            planner_.next_tick_at(), now, now + max_tick_interval);
+        const auto next =
+            std::clamp(planner_.next_tick_at(), now, now + max_tick_interval);
         timer_.expires_after(next - now);
         boost::system::error_code ignored;
         co_await timer_.async_wait(
