--- a/include/zinniahub/registration_planner.hpp
+++ b/include/zinniahub/registration_planner.hpp
@@ -27,7 +27,7 @@
 /// Time for which a read that showed the registration of a host proves that no
 /// other host may use its rate shares, counted from before the read. Shares are
 /// taken over only later than this after the end of a registration was read
-/// (`share_planner`). Longer than two waits of a watch.
+/// (`share_planner`). Longer than a wait of a watch with its margins.
 inline constexpr duration registration_read_validity = std::chrono::seconds(8);
 
 /// @brief Decides how a host registers itself under a lease and keeps the
