Begin the reads of each host with another member

Callers saw nothing or, in other runs, up to 6 of 400 reads refused (BUSY).

The log of the test, which is now printed when it fails, shows the order: the hosts start together, and each begins its rotation with the same member. The limit of 10 connections is used up by the first ten hosts; the other six are refused there (in every run, passed or not) and move on to the primary. The primary is then sometimes full too, so the host that samples it for all is refused every 160 ms, the others get no position from it and try to sample the primary themselves.

first_reads_spread_over_the_members: 6 connections refused before, 0 after.

Not changed: a primary whose connections are all in use by reads of other hosts still refuses the host that samples it.

--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -36,7 +36,8 @@
 service_gateway::service_gateway(
     asio::io_context& io, member_connector& connector,
     const upstream_directory& directory, service_definition definition,
-    position_exchange& positions, log::event_log& events)
+    position_exchange& positions, log::event_log& events,
+    std::uint64_t first_rotation)
     : io_(io)
     , directory_(directory)
     , positions_(positions)
@@ -46,6 +47,7 @@
           io, connector, pools_, events,
           [this](const std::string& instance, pooled_connection_ptr connection)
           { release_connection(instance, std::move(connection)); })
+    , rotation_(first_rotation)
 {
 }
 
@@ -126,14 +128,14 @@
     while (true)
     {
         const auto now = clock::now();
-        ++request_count_;
-        auto members = use == purpose::primary
-                           ? primary_candidates(view(), now)
-                           : read_candidates(
-                                 view(),
-                                 {request.customer, position, request.excluded,
-                                  request_count_},
-                                 now);
+        ++rotation_;
+        auto members =
+            use == purpose::primary
+                ? primary_candidates(view(), now)
+                : read_candidates(
+                      view(),
+                      {request.customer, position, request.excluded, rotation_},
+                      now);
         const bool usable = !members.empty();
         if (use == purpose::primary && members.size() > 1)
         {
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -68,10 +68,12 @@
 class service_gateway
 {
 public:
+    /// @param first_rotation of the first read, see `read_requirements`
     service_gateway(
         boost::asio::io_context& io, member_connector& connector,
         const upstream_directory& directory, service_definition definition,
-        position_exchange& positions, log::event_log& events);
+        position_exchange& positions, log::event_log& events,
+        std::uint64_t first_rotation);
 
     /// @param customer whose connection the proxy's own commands may use
     void set_definition(
@@ -285,7 +287,8 @@
     time_point last_uncongested_at_ = time_point::min();
     /// Customer whose connection the sampler uses.
     std::string last_customer_;
-    std::uint64_t request_count_ = 0;
+    /// Rotation of the next read.
+    std::uint64_t rotation_;
     std::uint64_t samples_taken_ = 0;
     std::uint64_t positions_received_ = 0;
 };
--- a/src/pooling/session_manager.cpp
+++ b/src/pooling/session_manager.cpp
@@ -93,7 +93,7 @@
     {
         found = std::make_unique<service_gateway>(
             io_, connector_, directory_, service_definition{service},
-            positions_, events_);
+            positions_, events_, first_rotation_);
         if (proof_required_)
         {
             found->require_primary_proof();
--- a/src/pooling/session_manager.hpp
+++ b/src/pooling/session_manager.hpp
@@ -72,6 +72,12 @@
     {
         proof_required_ = true;
     }
+    /// @brief Sets the member with which the reads of this host begin; hosts
+    /// with different numbers begin with different members.
+    void set_first_rotation(std::uint64_t rotation)
+    {
+        first_rotation_ = rotation;
+    }
     /// @brief Sets the number of hosts that share the members' connections.
     void set_host_count(std::size_t host_count);
 
@@ -157,6 +163,7 @@
         gateways_;
     session_list sessions_;
     bool proof_required_ = false;
+    std::uint64_t first_rotation_ = 0;
     bool closing_ = false;
     bool ending_transactions_ = false;
 };
--- a/tests/integration/integration-many_hosts.cpp
+++ b/tests/integration/integration-many_hosts.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <map>
 #include <mutex>
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -52,6 +53,23 @@
         }
     }
 
+    /// Prints what the hosts did wrong when a check failed.
+    void TearDown() override
+    {
+        if (!HasFailure())
+        {
+            return;
+        }
+        for (const auto& proxy : proxies_)
+        {
+            std::istringstream lines(proxy->log());
+            for (std::string line; std::getline(lines, line);)
+            {
+                GTEST_LOG_(INFO) << line;
+            }
+        }
+    }
+
     static std::string key_of(std::size_t host)
     {
         return host % 2 == 0 ? "key-a" : "key-b";
@@ -162,3 +180,13 @@
     EXPECT_LT(samples, 2 * host_count);
     EXPECT_GT(positions, samples);
 }
+
+// Guards against hosts that start together and all open their first connection
+// to the same member, which then refuses those beyond its limit.
+TEST_F(many_hosts, first_reads_spread_over_the_members)
+{
+    const std::string failed =
+        "zinniahub_connections_failed{service=\"ledger\","
+        "reason=\"too_many\"} ";
+    EXPECT_EQ(sum_of(failed), 0);
+}
