--- a/tests/integration/integration-platform_faults.cpp
+++ b/tests/integration/integration-platform_faults.cpp
@@ -85,6 +85,20 @@
     EXPECT_EQ(proxy_->child().wait(6s), 0);
 }
 
+// Guards against a process that is killed at the end of its grace period
+// because its last call to the store gets no answer.
+TEST_F(platform_faults, planned_stop_ends_in_time_while_the_store_is_silent)
+{
+    constexpr auto grace_period = 3s;
+    proxy_->child().kill();
+    proxy_->set_grace_period(grace_period);
+    proxy_->restart();
+    ASSERT_TRUE(proxy_->wait_until_ready()) << proxy_->log();
+    platform_.store().set_fault(hosted_store::fault::silent);
+    proxy_->child().terminate();
+    EXPECT_EQ(proxy_->child().wait(grace_period), 0);
+}
+
 // Guards against a configuration that takes effect too late, or that reverts to
 // an older version.
 TEST_F(platform_faults, withdrawn_key_stops_within_the_bound)
--- a/tests/support/hosted_proxy.cpp
+++ b/tests/support/hosted_proxy.cpp
@@ -165,7 +165,7 @@
 ready = "{}"
 [bounds]
 drain_timeout_ms = 7000
-grace_period_s = 6
+grace_period_s = {}
 evacuation_ms = {}
 config_apply_ms = 3000
 quota_overage = 0.1
@@ -177,8 +177,8 @@
 address = "{}"
 assigned_tasks = ["promotion"]
 )",
-        name_, internal_port_, internal_port_, address_, ready_, evacuation_ms,
-        tokens_checked_, store_, store_);
+        name_, internal_port_, internal_port_, address_, ready_,
+        grace_period_.count(), evacuation_ms, tokens_checked_, store_, store_);
     std::filesystem::rename(written, settings_path_);
 }
 
@@ -188,6 +188,12 @@
     write_settings(default_evacuation_ms);
 }
 
+void hosted_proxy::set_grace_period(std::chrono::seconds value)
+{
+    grace_period_ = value;
+    write_settings(default_evacuation_ms);
+}
+
 void hosted_proxy::restart()
 {
     child_ = process::start(
--- a/tests/support/hosted_proxy.hpp
+++ b/tests/support/hosted_proxy.hpp
@@ -96,12 +96,16 @@
     /// @brief Writes the settings file with another address of the store; takes
     /// effect with the next start.
     void set_store(const std::string& address);
+    /// @brief Writes the settings file with another grace period; takes effect
+    /// with the next start.
+    void set_grace_period(std::chrono::seconds value);
 
 private:
     std::string name_;
     std::string address_;
     std::string ready_;
     std::string store_;
+    std::chrono::seconds grace_period_{6};
     /// Port for datagrams and connections between the proxies.
     unsigned short internal_port_ = 0;
     bool tokens_checked_ = true;
