Review case 3: a paused replica restarts while a promotion takes effect

Cause: the planner checks the pauses of the other replicas only before it orders a promotion; a restart ends a pause, and a primary that the holder cannot reach goes on committing.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,11 +4,12 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-sources=(review/standin/*.cpp tests/support/hosted_{member,platform,proxy,server,store}.cpp tests/support/process.cpp)
+sources=(review/standin/*.cc tests/support/hosted_{member,platform,proxy,server,store}.cpp tests/support/process.cpp)
 objects=()
 pids=()
 for source in "${sources[@]}"; do
-    object="target/review/$(basename "$source" .cpp).o"
+    name="$(basename "$source")"
+    object="target/review/${name%.*}.o"
     objects+=("$object")
     g++ -std=c++20 -O1 -DBOOST_ASIO_NO_DEPRECATED -DZINNIAHUB_BINARY='"target/zinniahub"' \
         -Iinclude -Isrc -I. -Itests -Ireview/standin -c "$source" -o "$object" &
--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cc
@@ -3,7 +3,7 @@
 // usage: cases CASE RECORD; the variable TROUBLE=0 leaves the disruption out.
 // Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 
-#include "deployment.hpp"
+#include "deployment.h"
 
 #include <fmt/format.h>
 
@@ -55,6 +55,7 @@
     auto& platform = system.platform();
     if (!system.wait_until_ready())
     {
+        record.write("the hosts are not ready");
         return could_not_run;
     }
     // Members that are in another part of the network than the primary receive
@@ -94,6 +95,7 @@
     deployment::order first;
     if (!system.wait_for_order(4s, first))
     {
+        record.write("no promotion was ordered");
         return could_not_run;
     }
     std::this_thread::sleep_for(300ms);
@@ -119,6 +121,7 @@
     deployment system(record, 3, 4, promotion_time);
     if (!system.wait_until_ready())
     {
+        record.write("the hosts are not ready");
         return could_not_run;
     }
     system.start_clients(2);
@@ -133,6 +136,7 @@
     deployment::order first;
     if (!system.wait_for_order(5s, first))
     {
+        record.write("no promotion was ordered");
         return could_not_run;
     }
     std::this_thread::sleep_for(300ms);
@@ -142,6 +146,59 @@
     return verdict(record, system);
 }
 
+/// Only the holder of the duty is partitioned from the primary. While its
+/// accepted order takes effect, the candidate receives nothing and the paused
+/// replica restarts.
+int replica_restart(recorder& record)
+{
+    deployment system(record, 3, 3, promotion_time);
+    auto& platform = system.platform();
+    if (!system.wait_until_ready())
+    {
+        record.write("the hosts are not ready");
+        return could_not_run;
+    }
+    const auto holder = system.wait_for_holder(5s);
+    if (holder.empty())
+    {
+        record.write("no host took the duty");
+        return could_not_run;
+    }
+    // Clients of the holder's host could not reach the primary either.
+    system.start_clients(3, holder);
+    std::this_thread::sleep_for(8s);
+    if (!with_trouble())
+    {
+        std::this_thread::sleep_for(6s);
+        system.stop_clients();
+        return verdict(record, system);
+    }
+    record.write(fmt::format("{} is cut off from i-0", holder));
+    platform.member(0).ignore_control(true);
+    deployment::order first;
+    if (!system.wait_for_order(5s, first))
+    {
+        record.write("no promotion was ordered");
+        return could_not_run;
+    }
+    const auto candidate = std::stoul(first.instance.substr(2));
+    const auto other = candidate == 1 ? 2U : 1U;
+    record.write(fmt::format("i-{} receives nothing", candidate));
+    platform.set_receiving(candidate, false);
+    record.write(fmt::format("i-{} crashes", other));
+    platform.member(other).crash();
+    std::this_thread::sleep_for(500ms);
+    record.write(fmt::format("i-{} is back", other));
+    platform.member(other).restart();
+    std::this_thread::sleep_for(3s);
+    record.write(fmt::format("i-{} receives again, the cut heals", candidate));
+    platform.set_receiving(candidate, true);
+    platform.member(0).ignore_control(false);
+    std::this_thread::sleep_for(2s);
+    system.stop_clients();
+    return verdict(record, system);
+}
+
 } // namespace
 
 int main(int count, char** arguments)
@@ -158,6 +215,10 @@
         {
             return hand_over(record);
         }
+        if (name == "replica_restart")
+        {
+            return replica_restart(record);
+        }
         if (name == "release")
         {
             return release(record);
--- a/review/standin/deployment.hpp
+++ b/review/standin/deployment.h
@@ -93,7 +93,8 @@
     }
 
     /// @brief Starts clients that write single statements on each host.
-    void start_clients(std::size_t per_host);
+    /// @param except name of a host without clients
+    void start_clients(std::size_t per_host, const std::string& except = {});
     void stop_clients();
 
     /// @brief Members that announced that they leave.
@@ -114,6 +115,9 @@
         steady_clock::time_point at;
     };
     std::vector<order> orders() const;
+    /// @brief Name of the host that holds the promotion duty; empty if there
+    /// is none in time.
+    std::string wait_for_holder(milliseconds timeout);
     bool wait_for_order(milliseconds timeout, order& found) const;
 
     std::size_t acknowledged() const;
