--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-sources=(review/standin/*.cc tests/support/hosted_{member,platform,proxy,server,store}.cpp tests/support/process.cpp)
+sources=(review/standin/*.cpp tests/support/hosted_{member,platform,proxy,server,store}.cpp tests/support/process.cpp)
 objects=()
 pids=()
 for source in "${sources[@]}"; do
--- a/review/standin/cases.cc
+++ b/review/standin/cases.cpp
@@ -3,7 +3,7 @@
 // usage: cases CASE RECORD; the variable TROUBLE=0 leaves the disruption out.
 // Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 
-#include "deployment.h"
+#include "deployment.hpp"
 
 #include <fmt/format.h>
 
--- a/review/standin/deployment.cc
+++ b/review/standin/deployment.cpp
@@ -1,4 +1,4 @@
-#include "deployment.h"
+#include "deployment.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
