Keep an accepted promotion until it takes effect

Cause: the planner dropped a candidate whose order the platform had accepted, ordered the old primary to "confirm" it, and released the other replicas. Neither a higher token nor a call for the present primary recalls an accepted order, so the dropped member took the lead later, without the commits of the meantime. The logs show the accepted order, the change to restoring, the pause of that member, and its lead.

Change: an order is pending until its member leads, has exited, or a limit has passed. Its member stays the candidate, the others stay paused, no other member is ordered, and the primary steps down when a pause may have ended. So is the guess of a new holder from the replicas that it finds paused. The stand-in and the model carry an accepted order out later, whatever is ordered meanwhile, as the platform does.

resumes_replicas_before_a_leaving_primary_is_replaced waited for the confirming order; it now demands that both replicas receive before the first order.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -72,13 +72,10 @@
 };
 
 /// Request the platform to promote a member, with a fencing token greater than
-/// all earlier ones.
+/// those of all orders that named another member.
 struct order_promotion
 {
     std::string instance;
-    /// True if the member already is the primary. The order then only
-    /// invalidates earlier orders that are still in flight.
-    bool confirms_primary = false;
 };
 
 } // namespace failover_action
@@ -107,10 +104,11 @@
 
 enum class promotion_result
 {
+    /// The member becomes the primary some time later. Nothing recalls this.
     accepted,
     /// The member is not running, or a newer fencing token was used.
     refused,
-    /// No reply: the order may still be executed later.
+    /// No reply: the order may still be accepted later.
     unknown
 };
 
@@ -134,11 +132,13 @@
 /// it then replaces a primary that it has never seen only after all others that
 /// it knows have answered for some time and none is the primary.
 ///
-/// A host that acquires the duty and finds all replicas but one paused
-/// completes the failover of an earlier holder: an order for that replica may
-/// still be executed, and until then no other member may be promoted. Otherwise
-/// a paused replica resumes only after an order that confirms the current
-/// primary. All functions are linear in the number of members.
+/// An order that may have been accepted is pending until its member leads, has
+/// exited, or a time limit has passed. Neither a fencing token nor an order for
+/// another member recalls it: it takes effect with the log that the member then
+/// has. So its member stays the candidate whatever happens to it, the other
+/// replicas stay paused, and no other member is ordered. A host that acquires
+/// the duty learns of a pending order from the durable record and completes it.
+/// All functions are linear in the number of members.
 class failover_planner
 {
 public:
@@ -174,11 +174,15 @@
         /// during an outage of the store return within three heartbeats and
         /// two seconds.
         duration incomplete_group_delay = std::chrono::milliseconds(5000);
+        /// Time within which an accepted order takes effect, if its member is
+        /// running.
+        duration promotion_limit = std::chrono::seconds(5);
+        /// As `promotion_limit`, for an order without a reply, counted from the
+        /// time at which the reply was given up.
+        duration late_order_limit = std::chrono::seconds(10);
         /// The platform rejects an order whose fencing token is lower than one
         /// it has seen, and a replaced primary stops leading at once.
         bool tokens_checked = true;
-        /// Time after which an order without a reply is no longer executed.
-        duration late_order_limit = std::chrono::seconds(10);
     };
 
     explicit failover_planner(settings values)
@@ -221,9 +225,8 @@
     /// Call again before it is sent, after a call of the store.
     bool is_order_justified(std::string_view instance, time_point now) const;
 
-    /// @brief Member whose promotion was ordered and may still be executed;
-    /// empty if there is none. Must be recorded durably before the order is
-    /// sent if the platform does not check fencing tokens.
+    /// @brief Member whose promotion was ordered and may still take effect;
+    /// empty if there is none.
     std::string_view pending_order(time_point now) const;
 
     /// @brief True while changes of the members must be learned without delay.
@@ -315,34 +318,54 @@
     /// Keeps or replaces the candidate.
     const member_state* update_candidate(bool primary_responds, time_point now);
     bool all_have_answered() const;
-    /// Candidate of a failover that an earlier holder of the duty started.
-    const member_state* inherited_candidate(time_point now) const;
     bool replicas_are_paused(time_point now) const;
-    void handle_paused_replicas(time_point now);
     void start_failover(time_point now);
+    /// Starts a failover to the member whose order is pending.
+    void resume_failover(time_point now);
     void continue_failover(std::vector<failover_step>& steps, time_point now);
+    void on_new_primary();
+    void order_candidate(std::vector<failover_step>& steps);
     bool is_other_replica(
         const member_state& member, std::string_view candidate) const;
     void
     pause_other_replicas(std::vector<failover_step>& steps, time_point now);
-    bool other_replicas_are_paused(
-        const member_state& candidate, time_point now) const;
-    bool must_step_down(
-        const member_state& primary, const member_state& candidate,
+    bool is_recent(const member_state& member, time_point now) const;
+    /// True if all replicas but the candidate are paused.
+    bool other_replicas_are_paused(time_point now) const;
+    /// As `other_replicas_are_paused`, by statuses of all replicas that are
+    /// recent enough for an order.
+    bool
+    statuses_justify_order(const member_state& candidate, time_point now) const;
+    void update_deaf_candidate(
+        const member_state& primary, const member_state* candidate,
         time_point now);
+    bool candidate_is_deaf(time_point now) const;
+    /// True if the primary must not commit before the order is sent.
+    bool must_step_down_before_order(time_point now) const;
+    /// True if the primary might commit without the member whose order is
+    /// pending.
+    bool must_step_down_after_order(time_point now) const;
     /// True if the candidate has to pause too, because the primary cannot be
     /// asked to step down.
     bool must_pause_candidate(time_point now) const;
     void update_all_paused(const member_state* candidate, time_point now);
     /// True if no host takes the previous primary for the primary any more.
     bool primary_proof_has_expired(time_point now) const;
-    /// True while an order of another member may still be executed.
+    /// True while an order may still take effect.
+    bool order_is_pending(time_point now) const;
+    /// True while an order may still take effect whose member does not lead.
+    bool awaits_order(time_point now) const;
+    /// True while an order of another member may still take effect.
     bool awaits_other_order(std::string_view instance, time_point now) const;
+    /// The member of the order leads.
+    void on_order_executed();
+    void clear_order();
+    void clear_order_of_exited_member();
     void complete_recorded_order(time_point now);
     void demote_replaced_primaries(
         std::vector<failover_step>& steps, time_point now);
     void request_step_down(std::vector<failover_step>& steps, time_point now);
-    void start_restoring(time_point now);
+    void start_restoring();
     void resume_replicas(std::vector<failover_step>& steps, time_point now);
 
     enum class phase
@@ -383,20 +406,21 @@
     /// Time since which the candidate does not receive the primary's entries.
     std::optional<time_point> candidate_deaf_since_;
     time_point next_step_down_ = time_point::min();
-    /// True if an order was sent in this failover.
-    bool order_sent_ = false;
+    /// True if an order of this failover got no reply.
     bool order_unknown_ = false;
-    /// Member of the last order, and the time until which that order may be
-    /// executed although it got no reply.
+    /// Member of the last order, and the time until which that order may take
+    /// effect.
     std::string ordered_;
-    time_point order_executable_until_ = time_point::min();
+    time_point order_pending_until_ = time_point::min();
+    /// The member leads, but another order for it may be carried out later.
+    bool order_took_effect_ = false;
     /// True if `ordered_` is known only from the record.
     bool order_from_record_ = false;
     /// Time since which all replicas are paused, including the candidate.
     std::optional<time_point> all_paused_since_;
     time_point next_promotion_ = time_point::min();
+    /// The reply to an order is awaited.
     bool promotion_pending_ = false;
-    bool primary_confirmed_ = false;
 };
 
 } // namespace zinniahub
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -516,14 +516,12 @@
         co_return;
     }
     auto& planner = state_of(service).planner;
-    const bool justified =
-        value.confirms_primary
-            ? planner.known_primary() == value.instance
-            : planner.is_order_justified(value.instance, clock::now());
-    if (!recorded || !justified || !is_leader(clock::now()))
+    const auto now = clock::now();
+    const bool justified = planner.is_order_justified(value.instance, now);
+    if (!recorded || !justified || !is_leader(now))
     {
         // The members or the duty changed while the token was written.
-        planner.on_promotion_result(promotion_result::refused, clock::now());
+        planner.on_promotion_result(promotion_result::refused, now);
         co_return;
     }
     const auto basis = state_of(service).planner.summary(clock::now());
@@ -544,7 +542,6 @@
         "promotion_ordered",
         {{"service", service},
          {"instance", value.instance},
-         {"confirms", value.confirms_primary},
          {"token", token ? *token : 0},
          {"outcome", static_cast<int>(outcome)},
          {"error", code == errc{} ? "" : to_string(code)},
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -58,13 +58,9 @@
     without_primary_since_.reset();
     stalled_since_.reset();
     candidate_.clear();
-    order_sent_ = false;
     order_unknown_ = false;
     promotion_pending_ = false;
-    primary_confirmed_ = false;
-    ordered_.clear();
-    order_executable_until_ = time_point::min();
-    order_from_record_ = false;
+    clear_order();
     all_paused_since_.reset();
 }
 
--- /dev/null
+++ b/src/lib/failover_orders.cpp
@@ -0,0 +1,94 @@
+#include <zinniahub/failover_planner.hpp>
+
+// Orders of the failover planner that may still take effect.
+
+namespace zinniahub
+{
+
+void failover_planner::on_recorded_order(
+    std::string_view instance, time_point now)
+{
+    ordered_ = instance;
+    order_pending_until_ = now + settings_.late_order_limit;
+    order_from_record_ = true;
+}
+
+bool failover_planner::order_is_pending(time_point now) const
+{
+    return !ordered_.empty() &&
+           (promotion_pending_ || now < order_pending_until_);
+}
+
+bool failover_planner::awaits_order(time_point now) const
+{
+    return order_is_pending(now) && !order_took_effect_;
+}
+
+bool failover_planner::awaits_other_order(
+    std::string_view instance, time_point now) const
+{
+    return order_is_pending(now) && ordered_ != instance;
+}
+
+std::string_view failover_planner::pending_order(time_point now) const
+{
+    return order_is_pending(now) ? std::string_view{ordered_}
+                                 : std::string_view{};
+}
+
+void failover_planner::clear_order()
+{
+    ordered_.clear();
+    order_pending_until_ = time_point::min();
+    order_took_effect_ = false;
+    order_from_record_ = false;
+}
+
+// An order that names the present primary changes nothing. If tokens are not
+// checked, a repetition without a reply may be carried out after the promotion
+// of another member.
+void failover_planner::on_order_executed()
+{
+    if (settings_.tokens_checked || !order_unknown_)
+    {
+        clear_order();
+        return;
+    }
+    order_took_effect_ = true;
+    order_from_record_ = false;
+}
+
+void failover_planner::clear_order_of_exited_member()
+{
+    const auto found = members_.find(ordered_);
+    if (found != members_.end() && has_shut_down(found->second) &&
+        !promotion_pending_)
+    {
+        clear_order();
+    }
+}
+
+void failover_planner::complete_recorded_order(time_point now)
+{
+    const auto* primary = current_primary(now);
+    if (primary != nullptr && primary->definition.instance == ordered_)
+    {
+        order_unknown_ = true;
+        on_order_executed();
+        return;
+    }
+    if (!order_is_pending(now))
+    {
+        clear_order();
+        return;
+    }
+    if (!all_have_answered() || (primary == nullptr && !primary_is_lost(now)))
+    {
+        return;
+    }
+    order_from_record_ = false;
+    reason_ = "inherited";
+    resume_failover(now);
+}
+
+} // namespace zinniahub
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -33,24 +33,17 @@
     promotion_result result, time_point now)
 {
     promotion_pending_ = false;
-    if (!settings_.tokens_checked && result == promotion_result::unknown)
-    {
-        order_executable_until_ = now + settings_.late_order_limit;
-    }
-    order_unknown_ = phase_ == phase::changing &&
-                     (order_unknown_ || result == promotion_result::unknown);
-    if (phase_ == phase::restoring)
-    {
-        primary_confirmed_ = result == promotion_result::accepted;
-        next_promotion_ = now + settings_.urgent_interval;
-        return;
-    }
     if (result == promotion_result::refused)
     {
         // The member is not running; the next status query will show it.
         next_promotion_ = now + 2 * settings_.urgent_interval;
         return;
     }
+    const bool unknown = result == promotion_result::unknown;
+    order_unknown_ = order_unknown_ || unknown;
+    const auto limit =
+        unknown ? settings_.late_order_limit : settings_.promotion_limit;
+    order_pending_until_ = std::max(order_pending_until_, now + limit);
     next_promotion_ = now + settings_.promotion_retry_interval;
 }
 
@@ -268,8 +261,7 @@
     {
         candidate_behind_since_ = now;
     }
-    if (now < order_executable_until_ && !ordered_.empty() &&
-        ordered_ != primary_)
+    if (awaits_order(now))
     {
         candidate_ = ordered_;
         return find_candidate(now);
@@ -321,33 +313,49 @@
     }
 }
 
-bool failover_planner::other_replicas_are_paused(
+bool failover_planner::is_recent(
+    const member_state& member, time_point now) const
+{
+    return is_fresh(member, now) &&
+           now - member.queried_at <= settings_.order_status_age;
+}
+
+bool failover_planner::other_replicas_are_paused(time_point now) const
+{
+    return std::all_of(
+        members_.begin(), members_.end(),
+        [this, now](const auto& entry)
+        {
+            const auto& member = entry.second;
+            return !is_other_replica(member, candidate_) ||
+                   (is_fresh(member, now) &&
+                    member.status->paused_term >= pause_term_);
+        });
+}
+
+bool failover_planner::statuses_justify_order(
     const member_state& candidate, time_point now) const
 {
-    const auto is_recent = [this, now](const member_state& member)
-    {
-        return is_fresh(member, now) &&
-               now - member.queried_at <= settings_.order_status_age;
-    };
-    return is_recent(candidate) &&
-           std::all_of(
-               members_.begin(), members_.end(),
-               [&](const auto& entry)
-               {
-                   const auto& member = entry.second;
-                   return !is_other_replica(
-                              member, candidate.definition.instance) ||
-                          (is_recent(member) &&
-                           member.status->paused_term >= pause_term_);
-               });
+    const bool recent = std::all_of(
+        members_.begin(), members_.end(),
+        [this, now](const auto& entry)
+        {
+            const auto& member = entry.second;
+            return !is_other_replica(member, candidate_) ||
+                   is_recent(member, now);
+        });
+    return recent && is_recent(candidate, now) &&
+           other_replicas_are_paused(now);
 }
 
-bool failover_planner::must_step_down(
-    const member_state& primary, const member_state& candidate, time_point now)
+// The primary's position is that of an earlier status, because entries take
+// some time to reach the candidate.
+void failover_planner::update_deaf_candidate(
+    const member_state& primary, const member_state* candidate, time_point now)
 {
-    // The primary's position is that of an earlier status, because entries take
-    // some time to reach the candidate.
-    if (candidate.status->received >= primary.earlier_received)
+    const bool lags = candidate != nullptr &&
+                      candidate->status->received < primary.earlier_received;
+    if (!lags)
     {
         candidate_deaf_since_.reset();
     }
@@ -355,13 +363,28 @@
     {
         candidate_deaf_since_ = now;
     }
-    const bool before_order =
-        !settings_.tokens_checked && !candidate_deaf_since_ &&
-        now - failover_started_at_ >= settings_.order_delay;
-    return order_unknown_ || before_order ||
-           (candidate_deaf_since_ &&
-            now - *candidate_deaf_since_ >= settings_.behind_limit);
 }
+
+bool failover_planner::candidate_is_deaf(time_point now) const
+{
+    return candidate_deaf_since_ &&
+           now - *candidate_deaf_since_ >= settings_.behind_limit;
+}
+
+bool failover_planner::must_step_down_before_order(time_point now) const
+{
+    const bool leads_on = !settings_.tokens_checked && !candidate_deaf_since_ &&
+                          now - failover_started_at_ >= settings_.order_delay;
+    return order_unknown_ || leads_on || candidate_is_deaf(now);
+}
+
+// A replica that does not answer may have restarted, which ends its pause.
+bool failover_planner::must_step_down_after_order(time_point now) const
+{
+    return !settings_.tokens_checked || order_unknown_ ||
+           candidate_is_deaf(now) || !other_replicas_are_paused(now);
+}
+
 bool failover_planner::is_order_justified(
     std::string_view instance, time_point now) const
 {
@@ -369,10 +392,9 @@
     return phase_ == phase::changing && candidate != nullptr &&
            candidate_ == instance && primary_proof_has_expired(now) &&
            !awaits_other_order(instance, now) &&
-           (sync_replicas_ == 0 ||
-            (other_replicas_are_paused(*candidate, now) &&
-             !a_paused_replica_is_ahead(*candidate) &&
-             covers_ended_members(*candidate)));
+           (sync_replicas_ == 0 || (statuses_justify_order(*candidate, now) &&
+                                    !a_paused_replica_is_ahead(*candidate) &&
+                                    covers_ended_members(*candidate)));
 }
 
 void failover_planner::start_failover(time_point now)
@@ -384,54 +406,23 @@
     candidate_.clear();
     candidate_behind_since_.reset();
     candidate_deaf_since_.reset();
-    order_sent_ = false;
     order_unknown_ = false;
     all_paused_since_.reset();
     next_promotion_ = now;
 }
 
-const failover_planner::member_state*
-failover_planner::inherited_candidate(time_point now) const
+// It is not known whether the member of the order receives, nor whether the
+// order was accepted.
+void failover_planner::resume_failover(time_point now)
 {
-    const member_state* found = nullptr;
-    for (const auto& [instance, member] : members_)
-    {
-        if (instance == primary_ || has_shut_down(member) ||
-            (is_fresh(member, now) && is_paused(member)))
-        {
-            continue;
-        }
-        if (found != nullptr)
-        {
-            return nullptr;
-        }
-        found = &member;
-    }
-    return found != nullptr && is_fresh(*found, now) &&
-                   !found->definition.leaving && !found->status->primary
-               ? found
-               : nullptr;
-}
-
-void failover_planner::handle_paused_replicas(time_point now)
-{
-    const auto* candidate = inherited_candidate(now);
-    if (candidate == nullptr)
-    {
-        start_restoring(now);
-        return;
-    }
-    reason_ = "inherited";
     start_failover(now);
-    candidate_ = candidate->definition.instance;
-    order_sent_ = true;
+    candidate_ = ordered_;
     order_unknown_ = true;
 }
-void failover_planner::start_restoring(time_point now)
+
+void failover_planner::start_restoring()
 {
     phase_ = phase::restoring;
-    primary_confirmed_ = false;
-    next_promotion_ = now;
     candidate_.clear();
 }
 
@@ -445,29 +436,43 @@
     }
 }
 
+void failover_planner::on_new_primary()
+{
+    on_order_executed();
+    stalled_since_.reset();
+    // The promotion releases only pauses with terms up to its own.
+    start_restoring();
+}
+
+void failover_planner::order_candidate(std::vector<failover_step>& steps)
+{
+    if (ordered_ != candidate_)
+    {
+        clear_order();
+        ordered_ = candidate_;
+    }
+    promotion_pending_ = true;
+    steps.emplace_back(failover_action::order_promotion{candidate_});
+}
+
 void failover_planner::continue_failover(
     std::vector<failover_step>& steps, time_point now)
 {
     const auto* primary = current_primary(now);
     if (primary != nullptr && primary->status->term > previous_term_)
     {
-        stalled_since_.reset();
-        candidate_.clear();
-        // The promotion releases only pauses with terms up to its own. Orders
-        // that may still be executed name the present primary.
-        phase_ = phase::restoring;
-        primary_confirmed_ = true;
+        on_new_primary();
         return;
     }
     const bool still_needed = primary == nullptr ||
                               primary->definition.leaving ||
                               primary_is_stalled(*primary, now);
     const auto* candidate = update_candidate(primary != nullptr, now);
-    const bool abandoned = !still_needed && !order_sent_;
+    const bool abandoned = !still_needed && !order_is_pending(now);
     const bool no_candidate = primary != nullptr && candidate_.empty();
-    if ((abandoned || no_candidate) && !promotion_pending_)
+    if (abandoned || no_candidate)
     {
-        start_restoring(now);
+        start_restoring();
         return;
     }
     if (candidate_.empty())
@@ -480,14 +485,14 @@
         pause_other_replicas(steps, now);
     }
     update_all_paused(candidate, now);
-    // An order that may still be executed names the candidate, so the primary
-    // must not commit, even if the candidate does not answer.
-    const bool order_in_flight =
-        now < order_executable_until_ && candidate_ == ordered_ && order_sent_;
-    if (primary != nullptr && order_in_flight)
+    if (pause && primary != nullptr)
     {
-        request_step_down(steps, now);
-        return;
+        update_deaf_candidate(*primary, candidate, now);
+        if (awaits_order(now) && must_step_down_after_order(now))
+        {
+            request_step_down(steps, now);
+            return;
+        }
     }
     if (candidate == nullptr)
     {
@@ -495,9 +500,9 @@
     }
     // Nothing else may delay the promotion of a service without a primary.
     const bool step_down = pause && primary != nullptr &&
-                           must_step_down(*primary, *candidate, now) &&
+                           must_step_down_before_order(now) &&
                            !awaits_other_order(candidate_, now) &&
-                           other_replicas_are_paused(*candidate, now);
+                           statuses_justify_order(*candidate, now);
     if (step_down)
     {
         request_step_down(steps, now);
@@ -508,36 +513,20 @@
     if (!promotion_pending_ && !early && now >= next_promotion_ &&
         is_order_justified(candidate_, now))
     {
-        promotion_pending_ = true;
-        order_sent_ = true;
-        ordered_ = candidate_;
-        steps.emplace_back(failover_action::order_promotion{candidate_, false});
+        order_candidate(steps);
     }
 }
 
 void failover_planner::resume_replicas(
     std::vector<failover_step>& steps, time_point now)
 {
-    const auto* primary = current_primary(now);
-    if (primary == nullptr)
+    if (current_primary(now) == nullptr)
     {
         phase_ = phase::steady;
         return;
     }
-    if (!primary_confirmed_ && !settings_.tokens_checked)
+    if (awaits_other_order(primary_, now))
     {
-        // A confirming order would undo a promotion that is executed late.
-        primary_confirmed_ = !awaits_other_order(primary_, now);
-    }
-    if (!primary_confirmed_)
-    {
-        if (settings_.tokens_checked && !promotion_pending_ &&
-            now >= next_promotion_)
-        {
-            promotion_pending_ = true;
-            steps.emplace_back(
-                failover_action::order_promotion{primary_, true});
-        }
         return;
     }
     bool any_paused = false;
@@ -568,6 +557,7 @@
     query_members(steps, now);
     update_ended_members(now);
     update_incomplete_group(now);
+    clear_order_of_exited_member();
     if (!settings_.tokens_checked)
     {
         demote_replaced_primaries(steps, now);
@@ -586,7 +576,7 @@
             current_primary(now) != nullptr && replicas_are_paused(now) &&
             all_have_answered())
         {
-            handle_paused_replicas(now);
+            start_restoring();
         }
     }
     if (phase_ == phase::changing)
--- a/src/lib/failover_unchecked.cpp
+++ b/src/lib/failover_unchecked.cpp
@@ -3,27 +3,11 @@
 #include <algorithm>
 
 // Rules of the failover planner for platforms that do not check fencing tokens:
-// a replaced primary may go on leading, and an order without a reply may be
-// executed after later ones.
+// a replaced primary may go on leading.
 
 namespace zinniahub
 {
 
-void failover_planner::on_recorded_order(
-    std::string_view instance, time_point now)
-{
-    ordered_ = instance;
-    order_executable_until_ = now + settings_.late_order_limit;
-    order_from_record_ = true;
-}
-
-std::string_view failover_planner::pending_order(time_point now) const
-{
-    const bool pending = (phase_ == phase::changing && order_sent_) ||
-                         now < order_executable_until_;
-    return pending ? std::string_view{ordered_} : std::string_view{};
-}
-
 bool failover_planner::must_pause_candidate(time_point now) const
 {
     const auto primary = members_.find(primary_);
@@ -89,35 +73,6 @@
     return now - proven_before >= primary_proof::validity;
 }
 
-bool failover_planner::awaits_other_order(
-    std::string_view instance, time_point now) const
-{
-    return now < order_executable_until_ && !ordered_.empty() &&
-           ordered_ != instance;
-}
-
-void failover_planner::complete_recorded_order(time_point now)
-{
-    const auto* primary = current_primary(now);
-    const bool executed =
-        primary != nullptr && primary->definition.instance == ordered_;
-    if (executed || now >= order_executable_until_)
-    {
-        order_from_record_ = false;
-        return;
-    }
-    if (!all_have_answered() || (primary == nullptr && !primary_is_lost(now)))
-    {
-        return;
-    }
-    order_from_record_ = false;
-    reason_ = "inherited";
-    start_failover(now);
-    candidate_ = ordered_;
-    order_sent_ = true;
-    order_unknown_ = true;
-}
-
 void failover_planner::demote_replaced_primaries(
     std::vector<failover_step>& steps, time_point now)
 {
--- /dev/null
+++ b/tests/integration/integration-platform_orders.cpp
@@ -0,0 +1,231 @@
+#include "support/hosted_proxy.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+// Promotions that take effect a second after their order was accepted, with
+// real processes: whatever happens meanwhile, the log of the promoted member
+// holds every acknowledged commit.
+
+using namespace std::chrono_literals;
+using zinniahub::test::hosted_platform;
+using zinniahub::test::hosted_proxy;
+using zinniahub::test::hosted_store;
+using zinniahub::test::line_caller;
+using zinniahub::test::replicated_log;
+
+namespace
+{
+
+class platform_orders : public testing::Test
+{
+protected:
+    platform_orders()
+        : platform_({.members = 4})
+    {
+        platform_.store().set_promotion_time(1s);
+        platform_.configure(1, {{"alba", "key-a"}});
+        platform_.on_promoted(
+            [this](const std::string& instance, const replicated_log& log)
+            { note_promotion(instance, log); });
+        for (const auto* name : {"n1", "n2", "n3"})
+        {
+            proxies_.push_back(std::make_unique<hosted_proxy>(platform_, name));
+        }
+    }
+
+    void SetUp() override
+    {
+        for (const auto& proxy : proxies_)
+        {
+            ASSERT_TRUE(proxy->wait_until_ready()) << proxy->log();
+        }
+    }
+
+    void TearDown() override
+    {
+        stop_writers();
+        if (HasFailure())
+        {
+            for (const auto& proxy : proxies_)
+            {
+                GTEST_LOG_(INFO) << proxy->log();
+            }
+        }
+    }
+
+    /// Starts writers at all proxies but one, and waits until they are served.
+    void start_writers(const std::string& except = {})
+    {
+        for (std::size_t index = 0; index < proxies_.size(); ++index)
+        {
+            if (proxy_name(index) != except)
+            {
+                writers_.emplace_back([this, index] { run_writer(index); });
+            }
+        }
+        ASSERT_TRUE(wait_until([this] { return acknowledged() > 50; }, 10s));
+    }
+
+    void stop_writers()
+    {
+        ended_ = true;
+        for (auto& writer : writers_)
+        {
+            writer.join();
+        }
+        writers_.clear();
+    }
+
+    /// Waits for the first order.
+    bool wait_for_order(hosted_store::promotion& found)
+    {
+        return wait_until(
+            [this, &found]
+            {
+                const auto orders = platform_.store().promotions();
+                if (!orders.empty())
+                {
+                    found = orders.front();
+                }
+                return !orders.empty();
+            },
+            6s);
+    }
+
+    static bool wait_until(
+        const std::function<bool()>& condition, std::chrono::seconds limit)
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!condition())
+        {
+            if (std::chrono::steady_clock::now() > end)
+            {
+                return false;
+            }
+            std::this_thread::sleep_for(5ms);
+        }
+        return true;
+    }
+
+    /// Waits until further writes are acknowledged.
+    bool is_served()
+    {
+        const auto before = acknowledged();
+        return wait_until(
+            [this, before] { return acknowledged() > before + 50; }, 15s);
+    }
+
+    std::size_t acknowledged()
+    {
+        const std::lock_guard lock(mutex_);
+        return acknowledged_.size();
+    }
+    /// Acknowledged writes that a promoted member lacked.
+    std::size_t lost()
+    {
+        const std::lock_guard lock(mutex_);
+        return lost_.size();
+    }
+    static std::size_t index_of(const std::string& instance)
+    {
+        return std::stoul(instance.substr(2));
+    }
+    hosted_proxy& proxy(const std::string& name)
+    {
+        return *proxies_.at(std::stoul(name.substr(1)) - 1);
+    }
+
+    hosted_platform platform_;
+    std::vector<std::unique_ptr<hosted_proxy>> proxies_;
+    /// Called after each promotion, with the lock of the log held.
+    std::function<void(const std::string&)> promoted_ = [](const std::string&) {
+    };
+
+private:
+    static std::string proxy_name(std::size_t index)
+    {
+        return "n" + std::to_string(index + 1);
+    }
+
+    void run_writer(std::size_t index)
+    {
+        std::size_t count = 0;
+        while (!ended_)
+        {
+            line_caller caller(proxies_[index]->address(), 3s);
+            bool usable = caller.start("latest", "key-a").ok();
+            while (usable && !ended_)
+            {
+                const auto data =
+                    proxy_name(index) + "-" + std::to_string(++count);
+                const auto reply = caller.run("PUT item-" + data + " " + data);
+                if (reply.ok())
+                {
+                    const std::lock_guard lock(mutex_);
+                    acknowledged_.insert(data);
+                }
+                usable = !reply.cut && !reply.unanswered;
+                std::this_thread::sleep_for(10ms);
+            }
+            std::this_thread::sleep_for(20ms);
+        }
+    }
+
+    void note_promotion(const std::string& instance, const replicated_log& log)
+    {
+        std::set<std::string> held;
+        for (const auto& row : log.members.at(instance).rows)
+        {
+            held.insert(row.data);
+        }
+        {
+            const std::lock_guard lock(mutex_);
+            std::set_difference(
+                acknowledged_.begin(), acknowledged_.end(), held.begin(),
+                held.end(), std::inserter(lost_, lost_.end()));
+        }
+        promoted_(instance);
+    }
+
+    std::mutex mutex_;
+    std::set<std::string> acknowledged_;
+    std::set<std::string> lost_;
+    std::atomic<bool> ended_{false};
+    std::vector<std::thread> writers_;
+};
+
+} // namespace
+
+// Guards against an accepted order that is given up because its member leaves:
+// the old primary acknowledged commits without that member, which took the lead
+// afterwards.
+TEST_F(platform_orders, candidate_that_leaves_loses_no_commit)
+{
+    start_writers();
+    platform_.register_member(0, true);
+    hosted_store::promotion order;
+    ASSERT_TRUE(wait_for_order(order));
+    std::this_thread::sleep_for(300ms);
+    const auto ordered = index_of(order.instance);
+    platform_.register_member(ordered, true);
+    EXPECT_TRUE(wait_until(
+        [&]
+        {
+            const auto primary = platform_.primary();
+            return primary != 0 && primary != ordered;
+        },
+        10s));
+    EXPECT_TRUE(is_served());
+    EXPECT_EQ(lost(), 0U);
+}
--- a/tests/support/hosted_store.cpp
+++ b/tests/support/hosted_store.cpp
@@ -92,54 +92,58 @@
                     ++index;
                     continue;
                 }
-                const auto what = orders_[index].what;
+                const auto order = orders_[index];
                 orders_.erase(
                     orders_.begin() + static_cast<std::ptrdiff_t>(index));
-                carry_out_locked(what);
+                if (!order.accepted)
+                {
+                    accept_locked(order.what);
+                }
+                else if (promote_)
+                {
+                    promote_(order.what);
+                }
             }
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
 }
 
-void hosted_store::carry_out_locked(const promotion& named)
+// An accepted order is carried out whatever is ordered meanwhile.
+unsigned hosted_store::accept_locked(const promotion& named)
 {
     auto& token = tokens_[named.service];
-    if (named.token >= token && promote_)
+    if (named.token < token)
     {
-        token = named.token;
-        promote_(named);
+        return 409;
     }
+    token = named.token;
+    if (promotion_ms_ == 0 || !accept_)
+    {
+        return promote_ && promote_(named) ? 200 : 409;
+    }
+    if (!accept_(named))
+    {
+        return 409;
+    }
+    orders_.push_back(
+        {steady_clock::now() + std::chrono::milliseconds(promotion_ms_), named,
+         true});
+    return 200;
 }
 
-hosted_store::answer hosted_store::promote(promotion named)
+hosted_store::answer hosted_store::promote(const promotion& named)
 {
     const std::lock_guard lock(mutex_);
     promotions_.push_back(named);
     if (late_ms_ > 0)
     {
         orders_.push_back(
-            {steady_clock::now() + std::chrono::milliseconds(late_ms_), named});
+            {steady_clock::now() + std::chrono::milliseconds(late_ms_), named,
+             false});
         return {0, json::object()};
     }
-    auto& token = tokens_[named.service];
-    if (named.token < token)
-    {
-        return {409, json::object()};
-    }
-    token = named.token;
-    if (promotion_ms_ == 0 || !accept_)
-    {
-        return {promote_ && promote_(named) ? 200U : 409U, json::object()};
-    }
-    if (!accept_(named))
-    {
-        return {409, json::object()};
-    }
-    orders_.push_back(
-        {steady_clock::now() + std::chrono::milliseconds(promotion_ms_),
-         std::move(named)});
-    return {200, json::object()};
+    return {accept_locked(named), json::object()};
 }
 
 void hosted_store::expire_locked()
@@ -408,7 +412,7 @@
         auto named = order;
         named.service = request["service"].get<std::string>();
         named.instance = request["instance_id"].get<std::string>();
-        return promote(std::move(named));
+        return promote(named);
     }
     return {404, json::object()};
 }
--- a/tests/support/hosted_store.hpp
+++ b/tests/support/hosted_store.hpp
@@ -49,6 +49,9 @@
     {
         std::chrono::steady_clock::time_point due;
         promotion what;
+        /// False if the order arrives when it is due, true if the member leads
+        /// from then on.
+        bool accepted = false;
     };
 
     hosted_store();
@@ -91,8 +94,8 @@
     {
         promotion_ms_ = value.count();
     }
-    /// @brief Orders get no reply and are carried out after `value`, if their
-    /// fencing token is still the highest then; 0 ends this.
+    /// @brief Orders get no reply and arrive after `value`; they are accepted
+    /// if their fencing token is still the highest then. 0 ends this.
     void delay_orders(std::chrono::milliseconds value)
     {
         late_ms_ = value.count();
@@ -133,8 +136,9 @@
     answer
     watch(const std::string& prefix, std::uint64_t after, std::int64_t wait_ms);
     answer transact(const nlohmann::json& body);
-    answer promote(promotion named);
-    void carry_out_locked(const promotion& named);
+    answer promote(const promotion& named);
+    /// @return status of the reply
+    unsigned accept_locked(const promotion& named);
     void carry_out_orders();
     answer grant(const nlohmann::json& body);
     void expire_locked();
--- a/tests/unit/service_model.hpp
+++ b/tests/unit/service_model.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace service_model
@@ -17,9 +18,10 @@
 inline const time_point start{std::chrono::hours(1)};
 
 /// Simulates the platform, the members of one service and a host that reads at
-/// its primary. Late orders are executed in any order. Fencing tokens are
-/// checked at execution; if the platform does not check them, a replaced
-/// primary leads until it is told to step down.
+/// its primary. Late orders arrive in any order, and fencing tokens are checked
+/// when an order arrives. An accepted order takes effect `promotion_time_`
+/// later, whatever is ordered meanwhile. If the platform does not check tokens,
+/// a replaced primary leads until it is told to step down.
 class service
 {
 public:
@@ -41,6 +43,12 @@
         time_point sent_at{};
     };
 
+    struct accepted_order
+    {
+        std::string instance;
+        time_point due{};
+    };
+
     explicit service(failover_planner::settings values = {})
         : planner_(values)
         , tokens_checked_(values.tokens_checked)
@@ -98,6 +106,7 @@
     /// Commits at the primary; acknowledged if a replica receives the commit.
     void commit()
     {
+        carry_out_accepted();
         const auto primary = primary_name();
         if (primary.empty() || !members_[primary].running)
         {
@@ -224,21 +233,56 @@
             now_, now_);
     }
 
-    void execute(const late_order& order)
+    /// An order arrives at the platform.
+    /// @return false if it is refused
+    bool execute(const late_order& order)
     {
-        auto& target = members_[order.instance];
         const bool rejected = tokens_checked_
                                   ? order.token < highest_token_
                                   : now_ - order.sent_at > late_order_limit;
         if (rejected)
         {
-            return;
+            return false;
         }
         highest_token_ = order.token;
-        if (!target.running || order.instance == primary_name())
+        if (!members_[order.instance].running)
         {
-            return;
+            return false;
         }
+        if (order.instance != primary_name())
+        {
+            accepted_.push_back({order.instance, now_ + promotion_time_});
+            carry_out_accepted();
+        }
+        return true;
+    }
+
+    /// Promotes the members of accepted orders that are due. A member that is
+    /// down leads when it is back, if that is soon.
+    void carry_out_accepted()
+    {
+        std::vector<accepted_order> waiting;
+        for (const auto& order : std::exchange(accepted_, {}))
+        {
+            if (order.due > now_ || !members_[order.instance].running)
+            {
+                if (now_ - order.due < max_promotion_delay)
+                {
+                    waiting.push_back(order);
+                }
+                continue;
+            }
+            if (order.instance != primary_name())
+            {
+                promote(order.instance);
+            }
+        }
+        accepted_ = std::move(waiting);
+    }
+
+    void promote(const std::string& instance)
+    {
+        auto& target = members_[instance];
         commit_lost_ = commit_lost_ || target.received < acknowledged_;
         std::uint64_t term = 0;
         for (auto& [name, state] : members_)
@@ -274,6 +318,7 @@
     void tick(duration step, bool lose_order)
     {
         now_ += step;
+        carry_out_accepted();
         for (const auto& action : planner_.on_tick(now_))
         {
             if (const auto* query =
@@ -330,11 +375,10 @@
                         promotion_result::unknown, now_);
                     continue;
                 }
-                const bool runs = members_[order->instance].running;
-                execute(sent);
+                const bool accepted = execute(sent);
                 planner_.on_promotion_result(
-                    runs ? promotion_result::accepted
-                         : promotion_result::refused,
+                    accepted ? promotion_result::accepted
+                             : promotion_result::refused,
                     now_);
             }
         }
@@ -370,6 +414,9 @@
     /// Replicas that receive nothing from the primary.
     std::set<std::string> not_replicating_;
     std::vector<late_order> late_orders_;
+    /// Time from the acceptance of an order until it takes effect.
+    duration promotion_time_{};
+    std::vector<accepted_order> accepted_;
     failover_planner planner_;
     bool tokens_checked_;
     time_point now_ = start;
@@ -384,6 +431,7 @@
     static constexpr duration min_downtime = 500ms;
     static constexpr duration late_order_limit =
         failover_planner::settings{}.late_order_limit;
+    static constexpr duration max_promotion_delay = 3s;
 
     std::uint64_t token_ = 10;
     std::uint64_t highest_token_ = 0;
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -443,11 +443,17 @@
     model.members_["b"].paused_term = 2;
     model.members_["c"].paused_term = 2;
     model.transfer_duty();
+    bool resumed = false;
     while (model.orders_ == 0)
     {
         ASSERT_LT(model.now_, start + 5s);
-        model.tick(50ms, false);
+        model.tick(50ms, true);
+        resumed = resumed || (model.members_["b"].paused_term == 0 &&
+                              model.members_["c"].paused_term == 0);
     }
+    EXPECT_TRUE(resumed);
+    const auto& candidate = model.late_orders_.front().instance;
+    EXPECT_EQ(model.members_[candidate].paused_term, 0U);
     EXPECT_EQ(model.primary_name(), "a");
     model.run(3s);
     EXPECT_NE(model.primary_name(), "a");
@@ -470,14 +476,99 @@
     EXPECT_EQ(model.orders_, 0U);
 }
 
+// Guards against an accepted order that is given up because its member leaves:
+// the primary committed without that member, which took the lead afterwards.
+TEST(failover_planner, accepted_order_stands_while_its_member_leaves)
+{
+    service_model::service model;
+    model.members_["d"];
+    model.promotion_time_ = 1s;
+    model.run(1s);
+    model.leaving_ = {"a"};
+    model.update_planner();
+    while (model.accepted_.empty())
+    {
+        ASSERT_LT(model.now_, start + 5s);
+        model.tick(50ms, false);
+    }
+    const auto ordered = model.accepted_.front().instance;
+    model.leaving_.insert(ordered);
+    model.update_planner();
+    for (int round = 0; round < 40; ++round)
+    {
+        model.run(50ms);
+        model.commit();
+        ASSERT_FALSE(model.commit_lost_);
+    }
+    // The member that leaves hands the lead on after it has taken it.
+    model.run(3s);
+    EXPECT_FALSE(model.leaving_.contains(model.primary_name()));
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against an accepted order that is given up because its member is out
+// of reach or down for a moment.
+TEST(failover_planner, accepted_order_stands_while_its_member_is_silent)
+{
+    for (const bool crashes : {false, true})
+    {
+        service_model::service model;
+        model.promotion_time_ = 1s;
+        model.run(1s);
+        model.leaving_ = {"a"};
+        model.update_planner();
+        while (model.accepted_.empty())
+        {
+            ASSERT_LT(model.now_, start + 5s);
+            model.tick(50ms, false);
+        }
+        const auto ordered = model.accepted_.front().instance;
+        auto& member = model.members_[ordered];
+        (crashes ? member.running : member.unreachable) = !crashes;
+        for (int round = 0; round < 30; ++round)
+        {
+            model.run(50ms);
+            model.commit();
+        }
+        (crashes ? member.running : member.unreachable) = crashes;
+        model.run(3s);
+        EXPECT_EQ(model.primary_name(), ordered);
+        EXPECT_FALSE(model.commit_lost_);
+    }
+}
+
+// Guards against a group that waits for ever for a member whose order was
+// accepted and that never comes back.
+TEST(failover_planner, order_of_a_lost_member_is_given_up_late)
+{
+    service_model::service model;
+    model.promotion_time_ = 1s;
+    model.run(1s);
+    model.leaving_ = {"a"};
+    model.update_planner();
+    while (model.accepted_.empty())
+    {
+        ASSERT_LT(model.now_, start + 5s);
+        model.tick(50ms, false);
+    }
+    model.members_[model.accepted_.front().instance].running = false;
+    model.run(8s);
+    const auto before = model.acknowledged_;
+    model.commit();
+    EXPECT_GT(model.acknowledged_, before);
+    EXPECT_FALSE(model.commit_lost_);
+}
+
 // Guards against lost commits under any sequence of crashes, partitions,
-// interrupted replication, transfers of the duty and late orders.
+// interrupted replication, departures, transfers of the duty and late orders.
 TEST(failover_planner, never_loses_an_acknowledged_commit)
 {
     EXPECT_TRUE(rc::check(
         []
         {
             service_model::service model;
+            model.promotion_time_ =
+                std::chrono::milliseconds(*rc::gen::inRange(0, 1200));
             model.run(1s);
             const std::vector<std::string> names{"a", "b", "c"};
             const auto steps = *rc::gen::inRange(10, 60);
@@ -485,7 +576,7 @@
             {
                 const auto& name = names[*rc::gen::inRange<std::size_t>(0, 3)];
                 auto& state = model.members_[name];
-                switch (*rc::gen::inRange(0, 11))
+                switch (*rc::gen::inRange(0, 12))
                 {
                 case 0:
                     state.running = false;
@@ -525,6 +616,13 @@
                 case 7:
                     model.record_primary();
                     break;
+                case 8:
+                    if (!model.leaving_.erase(name))
+                    {
+                        model.leaving_.insert(name);
+                    }
+                    model.update_planner();
+                    break;
                 default:
                     model.commit();
                     model.tick(
--- a/tests/unit/unit-unchecked_tokens.cpp
+++ b/tests/unit/unit-unchecked_tokens.cpp
@@ -274,6 +274,8 @@
         []
         {
             auto model = make_service();
+            model.promotion_time_ =
+                std::chrono::milliseconds(*rc::gen::inRange(0, 1200));
             model.run(1s);
             const std::vector<std::string> names{"a", "b", "c"};
             const auto any = [&names]
