Record every order before it is sent, and complete it after a move of the duty

Cause: on a platform that checks fencing tokens the record of the group did not name an accepted order. The next holder promoted the old primary, whose log was the longest, and both promotions took effect in turn. It also took the lead of the first member for the result of its own order and forgot that one. The logs show replication_group_loaded without an order, a second promotion_ordered with a higher token, and the change to steady before the second effect.

Change: each order is in the record before it is sent, and the next holder completes it. If another member leads first, the own order stays pending, and that primary steps down. An order that was given up before it was sent is logged. A write of the record whose answer was lost counts when a read shows it.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -323,7 +323,7 @@
     /// Starts a failover to the member whose order is pending.
     void resume_failover(time_point now);
     void continue_failover(std::vector<failover_step>& steps, time_point now);
-    void on_new_primary();
+    void on_new_primary(time_point now);
     void order_candidate(std::vector<failover_step>& steps);
     bool is_other_replica(
         const member_state& member, std::string_view candidate) const;
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -498,51 +498,46 @@
     std::string service, failover_action::order_promotion value)
 {
     const auto epoch = lease_.epoch();
-    auto outcome = promotion_result::unknown;
-    const auto token =
-        co_await fencing_token_for(state_of(service), value.instance);
+    const bool recorded = co_await record_order(service, value.instance);
     if (epoch != lease_.epoch())
     {
         co_return;
     }
-    bool recorded = true;
-    if (!settings_.tokens_checked)
+    result<std::uint64_t> token = fail(errc::platform_unavailable);
+    if (recorded)
     {
-        // A later holder must complete this order.
-        recorded = co_await record_order(service, value.instance);
+        token = co_await fencing_token_for(state_of(service), value.instance);
     }
     if (epoch != lease_.epoch())
     {
         co_return;
     }
-    auto& planner = state_of(service).planner;
+    // The members or the duty may have changed during the calls of the store.
     const auto now = clock::now();
+    auto& planner = state_of(service).planner;
     const bool justified = planner.is_order_justified(value.instance, now);
-    if (!recorded || !justified || !is_leader(now))
+    if (!token || !justified || !is_leader(now))
     {
-        // The members or the duty changed while the token was written.
+        events_.write(
+            "promotion_not_ordered", {{"service", service},
+                                      {"instance", value.instance},
+                                      {"recorded", recorded},
+                                      {"token", token ? *token : 0},
+                                      {"justified", justified}});
         planner.on_promotion_result(promotion_result::refused, now);
         co_return;
     }
-    const auto basis = state_of(service).planner.summary(clock::now());
-    errc code = token ? errc{} : token.error().code;
-    if (token)
-    {
-        ++orders_sent_;
-        const auto answer = co_await platform_.promote(
-            service, value.instance, settings_.host, *token);
-        code = answer ? errc{} : answer.error().code;
-        outcome = outcome_of(code);
-    }
-    else
-    {
-        outcome = promotion_result::refused;
-    }
+    const auto basis = planner.summary(now);
+    ++orders_sent_;
+    const auto answer = co_await platform_.promote(
+        service, value.instance, settings_.host, *token);
+    const auto code = answer ? errc{} : answer.error().code;
+    const auto outcome = outcome_of(code);
     events_.write(
         "promotion_ordered",
         {{"service", service},
          {"instance", value.instance},
-         {"token", token ? *token : 0},
+         {"token", *token},
          {"outcome", static_cast<int>(outcome)},
          {"error", code == errc{} ? "" : to_string(code)},
          {"position", to_text(basis.candidate_position)},
--- a/src/coordination/promotion_coordinator.hpp
+++ b/src/coordination/promotion_coordinator.hpp
@@ -35,8 +35,9 @@
 /// The holder records the replication group of each service in the store. A
 /// write expects the holder's key unchanged, so that only the present holder
 /// can change a record, and a new holder plans only after it has read the
-/// records: members whose registrations are missing are not forgotten. If the
-/// platform does not check tokens, an order is in the record before it is sent.
+/// records: members whose registrations are missing are not forgotten. An order
+/// is in the record before it is sent, because the platform may carry it out
+/// after the duty has moved.
 class promotion_coordinator
 {
 public:
@@ -126,6 +127,8 @@
     /// Records that a member may be promoted from now on.
     /// @return false if the record could not be written
     awaitable<bool> record_order(std::string service, std::string instance);
+    /// Waits until no record of the service is being written.
+    awaitable<void> wait_for_record(const std::string& service);
     /// Takes the registrations and the planner's knowledge into the group.
     void update_group(
         const service_definition& definition, service_state& service,
--- a/src/coordination/promotion_groups.cpp
+++ b/src/coordination/promotion_groups.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <optional>
 
@@ -19,6 +21,10 @@
 
 constexpr duration record_retry_interval = std::chrono::milliseconds(500);
 
+/// Interval at which an order checks whether an earlier write of the record has
+/// ended.
+constexpr duration record_poll_interval = std::chrono::milliseconds(5);
+
 } // namespace
 
 // Reads the records after the holder's key was written: no earlier holder can
@@ -76,8 +82,9 @@
     store_transaction change;
     change.preconditions.push_back({std::string(duty_key), revision_});
     change.preconditions.push_back({key, state_of(service).group.revision()});
-    change.writes.push_back({key, encode_replication_group(group), 0});
-    const auto written = co_await store_.commit(change);
+    const auto value = encode_replication_group(group);
+    change.writes.push_back({key, value, 0});
+    auto written = co_await store_.commit(change);
     std::optional<std::uint64_t> reread;
     if (!written && written.error().code != errc::platform_unavailable)
     {
@@ -88,6 +95,11 @@
             for (const auto& item : records->items)
             {
                 reread = item.key == key ? item.revision : *reread;
+                if (item.key == key && item.value == value)
+                {
+                    // The write took effect, and only its reply was lost.
+                    written = item.revision;
+                }
             }
         }
     }
@@ -121,9 +133,14 @@
 promotion_coordinator::record_order(std::string service, std::string instance)
 {
     const auto epoch = lease_.epoch();
+    co_await wait_for_record(service);
+    if (epoch != lease_.epoch())
+    {
+        co_return false;
+    }
     auto& state = state_of(service);
     state.group.on_order_pending(instance);
-    if (!state.group.is_order_recorded(instance) && !state.recording)
+    if (!state.group.is_order_recorded(instance))
     {
         state.recording = true;
         co_await record_group(service);
@@ -133,6 +150,18 @@
         found->second.group.is_order_recorded(instance);
 }
 
+awaitable<void>
+promotion_coordinator::wait_for_record(const std::string& service)
+{
+    const auto epoch = lease_.epoch();
+    asio::steady_timer timer(io_);
+    while (epoch == lease_.epoch() && state_of(service).recording)
+    {
+        timer.expires_after(record_poll_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 void promotion_coordinator::update_group(
     const service_definition& definition, service_state& service,
     time_point now)
@@ -157,10 +186,7 @@
     {
         service.group.on_retired(instance);
     }
-    if (!settings_.tokens_checked)
-    {
-        service.group.on_order_pending(service.planner.pending_order(now));
-    }
+    service.group.on_order_pending(service.planner.pending_order(now));
     service.group.on_tick(now);
     if (service.group.needs_record() && !service.recording &&
         now >= service.next_record)
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -436,8 +436,16 @@
     }
 }
 
-void failover_planner::on_new_primary()
+void failover_planner::on_new_primary(time_point now)
 {
+    if (awaits_order(now) && ordered_ != primary_)
+    {
+        // This primary was promoted by an order of another host. The pending
+        // order takes effect too, and its member may lack the primary's
+        // commits.
+        resume_failover(now);
+        return;
+    }
     on_order_executed();
     stalled_since_.reset();
     // The promotion releases only pauses with terms up to its own.
@@ -461,8 +469,11 @@
     const auto* primary = current_primary(now);
     if (primary != nullptr && primary->status->term > previous_term_)
     {
-        on_new_primary();
-        return;
+        on_new_primary(now);
+        if (phase_ != phase::changing)
+        {
+            return;
+        }
     }
     const bool still_needed = primary == nullptr ||
                               primary->definition.leaving ||
--- a/tests/integration/integration-platform_orders.cpp
+++ b/tests/integration/integration-platform_orders.cpp
@@ -229,3 +229,38 @@
     EXPECT_TRUE(is_served());
     EXPECT_EQ(lost(), 0U);
 }
+
+// Guards against a holder of the duty that does not know which order the one
+// before it has sent: it promoted the old primary, whose promotion took effect
+// after that of the ordered member and without the commits of that member.
+TEST_F(platform_orders, next_holder_of_the_duty_completes_the_order)
+{
+    // The primary is cut off from the other members for a while.
+    std::atomic<bool> cut{true};
+    promoted_ = [&](const std::string& instance)
+    {
+        for (auto& [name, member] : platform_.log().members)
+        {
+            member.deaf = cut && (name == "i-0") != (instance == "i-0");
+        }
+    };
+    start_writers();
+    // The replication group is complete after some time.
+    std::this_thread::sleep_for(6s);
+    for (const std::size_t index : {1U, 2U, 3U})
+    {
+        platform_.set_receiving(index, false);
+    }
+    hosted_store::promotion order;
+    ASSERT_TRUE(wait_for_order(order));
+    std::this_thread::sleep_for(300ms);
+    proxy(order.holder).child().terminate();
+    std::this_thread::sleep_for(3s);
+    cut = false;
+    for (std::size_t index = 0; index < platform_.size(); ++index)
+    {
+        platform_.set_receiving(index, true);
+    }
+    EXPECT_TRUE(is_served());
+    EXPECT_EQ(lost(), 0U);
+}
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -559,6 +559,69 @@
     EXPECT_FALSE(model.commit_lost_);
 }
 
+// Guards against a holder of the duty that promotes another member while the
+// order of the holder before it takes effect.
+TEST(failover_planner, next_holder_completes_an_accepted_order)
+{
+    for (const bool ordered_member_answers : {true, false})
+    {
+        service_model::service model;
+        model.promotion_time_ = 1s;
+        model.run(1s);
+        model.not_replicating_ = {"b", "c"};
+        model.commit();
+        while (model.accepted_.empty())
+        {
+            ASSERT_LT(model.now_, start + 5s);
+            model.tick(50ms, false);
+        }
+        const auto ordered = model.accepted_.front().instance;
+        model.transfer_duty();
+        model.members_[ordered].unreachable = !ordered_member_answers;
+        model.not_replicating_ = {"a"};
+        for (int round = 0; round < 40; ++round)
+        {
+            model.run(50ms);
+            model.commit();
+        }
+        model.members_[ordered].unreachable = false;
+        model.run(2s);
+        EXPECT_EQ(model.primary_name(), ordered);
+        EXPECT_FALSE(model.commit_lost_);
+    }
+}
+
+// Guards against a holder of the duty that forgets its own order because
+// another member takes the lead first, by an order that it does not know.
+TEST(failover_planner, keeps_its_order_when_another_member_is_promoted)
+{
+    service_model::service model;
+    model.promotion_time_ = 1s;
+    model.run(1s);
+    model.leaving_ = {"a"};
+    model.update_planner();
+    while (model.accepted_.empty())
+    {
+        ASSERT_LT(model.now_, start + 5s);
+        model.tick(50ms, false);
+    }
+    const auto ordered = model.accepted_.front().instance;
+    const std::string other = ordered == "b" ? "c" : "b";
+    model.promote(other);
+    // The other member commits with the former primary only.
+    model.not_replicating_ = {ordered};
+    for (int round = 0; round < 40; ++round)
+    {
+        model.tick(50ms, false);
+        if (round > 10)
+        {
+            model.commit();
+        }
+    }
+    EXPECT_EQ(model.primary_name(), ordered);
+    EXPECT_FALSE(model.commit_lost_);
+}
+
 // Guards against lost commits under any sequence of crashes, partitions,
 // interrupted replication, departures, transfers of the duty and late orders.
 TEST(failover_planner, never_loses_an_acknowledged_commit)
