Have other hosts make a primary step down that the holder cannot reach

Cause: a pause ends with the replica's process, so it proves nothing for the time that a promotion takes, and the primary went on committing with that replica. The proof that holds is that the primary has stepped down; a holder that could not ask it did without.

If one gets an answer, the primary is told to step down through them, and the order waits for that, 1 s at most. The same goes on while an order is pending.

The model of the planner's tests has the other hosts now. Two tests of unchecked_tokens need a primary that leads on: there the other hosts do not reach it either.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -49,6 +49,8 @@
 struct query
 {
     std::string instance;
+    /// This host cannot reach the member: other hosts query it.
+    bool through_hosts = false;
 };
 
 /// Make a replica stop receiving log entries.
@@ -69,6 +71,8 @@
 {
     std::string instance;
     std::uint64_t term;
+    /// This host cannot reach the member: other hosts send the request.
+    bool through_hosts = false;
 };
 
 /// Request the platform to promote a member, with a fencing token greater than
@@ -122,10 +126,12 @@
 /// least as far as the logs of the paused replicas. A replica that starts in
 /// the meantime is paused as soon as it is known; until then it may acknowledge
 /// commits of a primary whose candidate receives nothing, or while the result
-/// of an order is unknown, so such a primary steps down first. An unreachable
-/// replica may hold the only copy of a commit; the planner then waits for the
-/// replica or the primary to return, unless the replica announced its shutdown
-/// and its address refuses connections.
+/// of an order is unknown, so such a primary steps down first. So does a
+/// primary that only other hosts reach, through them: the planner would not see
+/// what it commits after a paused replica has restarted. An unreachable replica
+/// may hold the only copy of a commit; the planner then waits for the replica
+/// or the primary to return, unless the replica announced its shutdown and its
+/// address refuses connections.
 ///
 /// A host that acquires the duty starts from the durable record of the
 /// replication group. Without a complete record it cannot know the whole group;
@@ -180,6 +186,9 @@
         /// As `promotion_limit`, for an order without a reply, counted from the
         /// time at which the reply was given up.
         duration late_order_limit = std::chrono::seconds(10);
+        /// Longest delay of an order until a primary that only other hosts
+        /// reach has stepped down.
+        duration step_down_limit = std::chrono::milliseconds(1000);
         /// The platform rejects an order whose fencing token is lower than one
         /// it has seen, and a replaced primary stops leading at once.
         bool tokens_checked = true;
@@ -211,6 +220,12 @@
         std::string_view instance, const replication_status& status,
         time_point sent_at, time_point now);
 
+    /// @brief Records a status that another host got from a member.
+    /// @param asked_at time at which that host was asked
+    void on_relayed_status(
+        std::string_view instance, const replication_status& status,
+        time_point asked_at);
+
     /// @brief Records that a status query or a request to pause or resume
     /// replication got no reply.
     /// @param refused the member's address refused the connection
@@ -364,7 +379,16 @@
     void complete_recorded_order(time_point now);
     void demote_replaced_primaries(
         std::vector<failover_step>& steps, time_point now);
-    void request_step_down(std::vector<failover_step>& steps, time_point now);
+    void request_step_down(
+        std::vector<failover_step>& steps, bool through_hosts, time_point now);
+    /// True if the primary has confirmed to this or another host that it has
+    /// stepped down.
+    bool primary_has_stepped_down(time_point now) const;
+    /// True if other hosts reach the primary, and this one does not.
+    bool primary_leads_elsewhere(time_point now) const;
+    /// True while an order waits until a primary that other hosts reach has
+    /// stepped down.
+    bool awaits_step_down(time_point now);
     void start_restoring();
     void resume_replicas(std::vector<failover_step>& steps, time_point now);
 
@@ -406,6 +430,14 @@
     /// Time since which the candidate does not receive the primary's entries.
     std::optional<time_point> candidate_deaf_since_;
     time_point next_step_down_ = time_point::min();
+    /// Time since which an order waits for the step-down of a primary that only
+    /// other hosts reach.
+    std::optional<time_point> step_down_awaited_since_;
+    /// Status of `relayed_instance_` that another host got, and the time at
+    /// which that host was asked.
+    std::string relayed_instance_;
+    replication_status relayed_status_;
+    time_point relayed_at_ = time_point::min();
     /// True if an order of this failover got no reply.
     bool order_unknown_ = false;
     /// Member of the last order, and the time until which that order may take
--- a/src/coordination/datagram_transport.hpp
+++ b/src/coordination/datagram_transport.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <charconv>
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -35,4 +38,16 @@
     return word;
 }
 
+/// @brief Removes the first word from `text` and returns it as a number; none
+/// if it is not a decimal number that fits.
+inline std::optional<std::uint64_t> consume_number(std::string_view& text)
+{
+    std::uint64_t value = 0;
+    const auto word = consume_word(text);
+    const auto* const end = word.data() + word.size();
+    const auto parsed = std::from_chars(word.data(), end, value);
+    return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional(value)
+                                                         : std::nullopt;
+}
+
 } // namespace zinniahub::coordination
--- a/src/coordination/peer_position_exchange.cpp
+++ b/src/coordination/peer_position_exchange.cpp
@@ -2,8 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <charconv>
-#include <optional>
 #include <utility>
 #include <vector>
 
@@ -28,16 +26,6 @@
 /// Limit of questions of a service that wait for a sample.
 constexpr std::size_t max_unanswered_questions = 1024;
 
-std::optional<std::uint64_t> consume_number(std::string_view& text)
-{
-    std::uint64_t value = 0;
-    const auto word = consume_word(text);
-    const auto* const end = word.data() + word.size();
-    const auto parsed = std::from_chars(word.data(), end, value);
-    return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional(value)
-                                                         : std::nullopt;
-}
-
 } // namespace
 
 peer_position_exchange::peer_position_exchange(
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -71,16 +71,23 @@
 
 promotion_coordinator::promotion_coordinator(
     asio::io_context& io, store& target, promotion_api& platform,
-    pooling::member_connector& connector, const upstream_directory& directory,
-    settings values, log::event_log& events)
+    pooling::member_connector& connector, member_relay& relay,
+    const upstream_directory& directory, settings values,
+    log::event_log& events)
     : io_(io)
     , store_(target)
     , platform_(platform)
     , connector_(connector)
+    , relay_(relay)
     , directory_(directory)
     , settings_(std::move(values))
     , events_(events)
 {
+    relay_.set_handler(
+        [this](
+            const relayed_command& value, const replication_status& status,
+            time_point asked_at)
+        { on_relayed_status(value, status, asked_at); });
 }
 
 promotion_coordinator::~promotion_coordinator() = default;
@@ -355,9 +362,11 @@
     }
     pooling::command command{.kind = pooling::command_kind::status};
     std::string instance;
+    bool through_hosts = false;
     if (const auto* query = std::get_if<failover_action::query>(&step))
     {
         instance = query->instance;
+        through_hosts = query->through_hosts;
     }
     else if (
         const auto* hold =
@@ -377,12 +386,23 @@
         const auto* demotion = std::get_if<failover_action::step_down>(&step))
     {
         instance = demotion->instance;
+        through_hosts = demotion->through_hosts;
         command = {
             .kind = pooling::command_kind::step_down, .term = demotion->term};
         events_.write(
             "step_down_requested", {{"service", name},
                                     {"instance", instance},
-                                    {"term", demotion->term}});
+                                    {"term", demotion->term},
+                                    {"through_hosts", through_hosts}});
+    }
+    if (through_hosts)
+    {
+        relay_.send(
+            {.service = name,
+             .instance = instance,
+             .kind = command.kind,
+             .term = command.term});
+        return;
     }
     auto& control = member_control_for(service, instance);
     if (control.busy)
@@ -396,6 +416,26 @@
     asio::co_spawn(io_, run_on_member(name, instance, command), asio::detached);
 }
 
+void promotion_coordinator::on_relayed_status(
+    const relayed_command& value, const replication_status& status,
+    time_point asked_at)
+{
+    const auto found = services_.find(value.service);
+    if (found == services_.end() || !is_leader(clock::now()))
+    {
+        return;
+    }
+    if (value.kind == pooling::command_kind::step_down)
+    {
+        events_.write(
+            "step_down_answered", {{"service", value.service},
+                                   {"instance", value.instance},
+                                   {"term", value.term},
+                                   {"primary", status.primary}});
+    }
+    found->second.planner.on_relayed_status(value.instance, status, asked_at);
+}
+
 awaitable<void> promotion_coordinator::run_on_member(
     std::string service, std::string instance, pooling::command value)
 {
--- a/src/coordination/promotion_coordinator.hpp
+++ b/src/coordination/promotion_coordinator.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/member_relay.hpp"
 #include "coordination/store.hpp"
 #include "observability/event_log.hpp"
 #include "pooling/ports.hpp"
@@ -56,7 +57,7 @@
 
     promotion_coordinator(
         boost::asio::io_context& io, store& target, promotion_api& platform,
-        pooling::member_connector& connector,
+        pooling::member_connector& connector, member_relay& relay,
         const upstream_directory& directory, settings values,
         log::event_log& events);
     ~promotion_coordinator();
@@ -148,6 +149,9 @@
     void execute_step(
         const std::string& name, service_state& service,
         const failover_step& step);
+    void on_relayed_status(
+        const relayed_command& value, const replication_status& status,
+        time_point asked_at);
     /// State of a service; created if there is none.
     service_state& state_of(const std::string& service);
     static member_control&
@@ -163,6 +167,7 @@
     store& store_;
     promotion_api& platform_;
     pooling::member_connector& connector_;
+    member_relay& relay_;
     const upstream_directory& directory_;
     settings settings_;
     log::event_log& events_;
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -62,6 +62,7 @@
     promotion_pending_ = false;
     clear_order();
     all_paused_since_.reset();
+    relayed_instance_.clear();
 }
 
 void failover_planner::on_record(
@@ -145,6 +146,39 @@
     }
 }
 
+void failover_planner::on_relayed_status(
+    std::string_view instance, const replication_status& status,
+    time_point asked_at)
+{
+    if (instance == primary_ &&
+        (instance != relayed_instance_ || asked_at >= relayed_at_))
+    {
+        relayed_instance_ = instance;
+        relayed_status_ = status;
+        relayed_at_ = asked_at;
+    }
+}
+
+bool failover_planner::primary_has_stepped_down(time_point now) const
+{
+    const auto found = members_.find(primary_);
+    const bool confirmed = found != members_.end() &&
+                           is_fresh(found->second, now) &&
+                           !found->second.status->primary;
+    const bool relayed = relayed_instance_ == primary_ &&
+                         relayed_at_ >= failover_started_at_ &&
+                         !relayed_status_.primary;
+    return confirmed || relayed;
+}
+
+bool failover_planner::primary_leads_elsewhere(time_point now) const
+{
+    return current_primary(now) == nullptr && !primary_has_stepped_down(now) &&
+           !primary_.empty() && relayed_instance_ == primary_ &&
+           relayed_status_.primary &&
+           now - relayed_at_ <= settings_.status_validity;
+}
+
 bool failover_planner::is_fresh(
     const member_state& member, time_point now) const
 {
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -69,6 +69,10 @@
         {
             member.next_query = now + delay;
             steps.emplace_back(failover_action::query{instance});
+            if (urgent)
+            {
+                steps.emplace_back(failover_action::query{instance, true});
+            }
         }
     }
 }
@@ -408,6 +412,7 @@
     candidate_deaf_since_.reset();
     order_unknown_ = false;
     all_paused_since_.reset();
+    step_down_awaited_since_.reset();
     next_promotion_ = now;
 }
 
@@ -427,13 +432,24 @@
 }
 
 void failover_planner::request_step_down(
-    std::vector<failover_step>& steps, time_point now)
+    std::vector<failover_step>& steps, bool through_hosts, time_point now)
 {
     if (now >= next_step_down_)
     {
         next_step_down_ = now + settings_.urgent_interval;
-        steps.emplace_back(failover_action::step_down{primary_, pause_term_});
+        steps.emplace_back(
+            failover_action::step_down{primary_, pause_term_, through_hosts});
+    }
+}
+
+bool failover_planner::awaits_step_down(time_point now)
+{
+    if (!primary_leads_elsewhere(now) || sync_replicas_ == 0)
+    {
+        return false;
     }
+    step_down_awaited_since_ = step_down_awaited_since_.value_or(now);
+    return now - *step_down_awaited_since_ < settings_.step_down_limit;
 }
 
 void failover_planner::on_new_primary(time_point now)
@@ -501,10 +517,14 @@
         update_deaf_candidate(*primary, candidate, now);
         if (awaits_order(now) && must_step_down_after_order(now))
         {
-            request_step_down(steps, now);
+            request_step_down(steps, false, now);
             return;
         }
     }
+    if (pause && awaits_order(now) && primary_leads_elsewhere(now))
+    {
+        request_step_down(steps, true, now);
+    }
     if (candidate == nullptr)
     {
         return;
@@ -516,16 +536,22 @@
                            statuses_justify_order(*candidate, now);
     if (step_down)
     {
-        request_step_down(steps, now);
+        request_step_down(steps, false, now);
         return;
     }
     const bool early = primary != nullptr && sync_replicas_ > 0 &&
                        now - failover_started_at_ < settings_.order_delay;
-    if (!promotion_pending_ && !early && now >= next_promotion_ &&
-        is_order_justified(candidate_, now))
+    if (promotion_pending_ || early || now < next_promotion_ ||
+        !is_order_justified(candidate_, now))
+    {
+        return;
+    }
+    if (awaits_step_down(now))
     {
-        order_candidate(steps);
+        request_step_down(steps, true, now);
+        return;
     }
+    order_candidate(steps);
 }
 
 void failover_planner::resume_replicas(
--- a/src/lib/failover_unchecked.cpp
+++ b/src/lib/failover_unchecked.cpp
@@ -15,9 +15,7 @@
     {
         return false;
     }
-    const auto& member = primary->second;
-    const bool stepped_down = is_fresh(member, now) && !member.status->primary;
-    return !stepped_down && !has_shut_down(member) &&
+    return !primary_has_stepped_down(now) && !has_shut_down(primary->second) &&
            current_primary(now) == nullptr;
 }
 
--- a/src/pooling/primary_sampling.cpp
+++ b/src/pooling/primary_sampling.cpp
@@ -314,15 +314,14 @@
 }
 
 awaitable<std::optional<replication_status>>
-service_gateway::query_status(std::string instance)
+service_gateway::control_member(std::string instance, command value)
 {
     auto lease = co_await acquire_for_command(std::move(instance));
     if (!lease)
     {
         co_return std::nullopt;
     }
-    const auto answer =
-        co_await lease.run({.kind = command_kind::status}, command_timeout);
+    const auto answer = co_await lease.run(value, command_timeout);
     if (!answer)
     {
         lease.close();
@@ -364,7 +363,8 @@
     {
         co_return true;
     }
-    const auto status = co_await query_status(instance);
+    const auto status =
+        co_await control_member(instance, {.kind = command_kind::status});
     if (status && status->primary && status->term < term)
     {
         events_.write(
@@ -391,7 +391,8 @@
     std::uint64_t confirmed_term = 0;
     for (const auto& replica : replicas_for_proof(instance, sent_at))
     {
-        const auto status = co_await query_status(replica);
+        const auto status =
+            co_await control_member(replica, {.kind = command_kind::status});
         if (!status)
         {
             continue;
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -127,6 +127,12 @@
         time_point asked_at, duration age, log_position position,
         std::string_view instance);
 
+    /// @brief Runs a command of the holder of the promotion duty on a member
+    /// that the holder cannot reach.
+    /// @return status of the member; none if it did not answer
+    awaitable<std::optional<replication_status>>
+    control_member(std::string instance, command value);
+
     /// @brief Another host asks for a position; the primary is sampled while
     /// such questions come.
     void on_position_requested(time_point now);
@@ -252,8 +258,6 @@
     /// Waits for a proof that a member leads, or any member if it is empty.
     awaitable<bool> wait_for_proof(std::string instance, time_point until);
     awaitable<void> sample();
-    awaitable<std::optional<replication_status>>
-    query_status(std::string instance);
     std::vector<std::string>
     replicas_for_proof(std::string_view primary, time_point now) const;
     /// Asks the replicas whether the member leads; see `primary_proof`.
--- a/tests/integration/integration-platform_orders.cpp
+++ b/tests/integration/integration-platform_orders.cpp
@@ -1,5 +1,6 @@
 #include "support/hosted_proxy.hpp"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -169,7 +170,8 @@
             {
                 const auto data =
                     proxy_name(index) + "-" + std::to_string(++count);
-                const auto reply = caller.run("PUT item-" + data + " " + data);
+                const auto reply =
+                    caller.run(fmt::format("PUT item-{0} {0}", data));
                 if (reply.ok())
                 {
                     const std::lock_guard lock(mutex_);
@@ -264,3 +266,46 @@
     EXPECT_TRUE(is_served());
     EXPECT_EQ(lost(), 0U);
 }
+
+// Guards against commits of a primary that only the holder of the duty cannot
+// reach, with a replica whose pause ended with its restart: the ordered member
+// received nothing, and took the lead without them.
+TEST_F(platform_orders, primary_out_of_reach_of_the_holder_loses_no_commit)
+{
+    std::string holder;
+    ASSERT_TRUE(wait_until(
+        [&]
+        {
+            holder = platform_.store().get("zinniahub/duty/promotion");
+            return !holder.empty();
+        },
+        5s));
+    start_writers(holder);
+    // The replication group is complete after some time.
+    std::this_thread::sleep_for(6s);
+    platform_.member(0).ignore_control(true);
+    hosted_store::promotion order;
+    ASSERT_TRUE(wait_for_order(order));
+    const auto ordered = index_of(order.instance);
+    platform_.set_receiving(ordered, false);
+    for (std::size_t index = 1; index < platform_.size(); ++index)
+    {
+        if (index != ordered)
+        {
+            platform_.member(index).crash();
+        }
+    }
+    std::this_thread::sleep_for(500ms);
+    for (std::size_t index = 1; index < platform_.size(); ++index)
+    {
+        if (index != ordered)
+        {
+            platform_.member(index).restart();
+        }
+    }
+    std::this_thread::sleep_for(2s);
+    platform_.set_receiving(ordered, true);
+    platform_.member(0).ignore_control(false);
+    EXPECT_TRUE(is_served());
+    EXPECT_EQ(lost(), 0U);
+}
--- a/tests/unit/service_model.hpp
+++ b/tests/unit/service_model.hpp
@@ -28,6 +28,7 @@
     struct member
     {
         bool running = true;
+        /// The holder of the duty cannot reach the member. Other hosts can.
         bool unreachable = false;
         bool primary = false;
         std::uint64_t term = 1;
@@ -219,6 +220,21 @@
         state.started_at = now_;
     }
 
+    static replication_status status_of(const member& state)
+    {
+        return {state.primary, state.term, state.received, state.paused_term};
+    }
+
+    /// Another host asks a member and passes the answer on.
+    void answer_through_hosts(const std::string& name)
+    {
+        const auto& state = members_[name];
+        if (state.running && !unreachable_through_hosts_.contains(name))
+        {
+            planner_.on_relayed_status(name, status_of(state), now_);
+        }
+    }
+
     void answer(const std::string& name)
     {
         const auto& state = members_[name];
@@ -227,10 +243,7 @@
             planner_.on_no_status(name, !state.running, now_);
             return;
         }
-        planner_.on_status(
-            name,
-            {state.primary, state.term, state.received, state.paused_term},
-            now_, now_);
+        planner_.on_status(name, status_of(state), now_, now_);
     }
 
     /// An order arrives at the platform.
@@ -314,6 +327,26 @@
         }
     }
 
+    void step_down(const failover_action::step_down& action)
+    {
+        auto& state = members_[action.instance];
+        const bool reachable =
+            action.through_hosts
+                ? !unreachable_through_hosts_.contains(action.instance)
+                : !state.unreachable;
+        if (state.running && reachable && action.term > state.term &&
+            !ignores_step_down_.contains(action.instance))
+        {
+            state.primary = false;
+        }
+        if (action.through_hosts)
+        {
+            answer_through_hosts(action.instance);
+            return;
+        }
+        answer(action.instance);
+    }
+
     /// @param lose_order orders get no reply and are executed later
     void tick(duration step, bool lose_order)
     {
@@ -324,6 +357,11 @@
             if (const auto* query =
                     std::get_if<failover_action::query>(&action))
             {
+                if (query->through_hosts)
+                {
+                    answer_through_hosts(query->instance);
+                    continue;
+                }
                 answer(query->instance);
             }
             else if (
@@ -349,13 +387,7 @@
                 const auto* demotion =
                     std::get_if<failover_action::step_down>(&action))
             {
-                auto& state = members_[demotion->instance];
-                if (state.running && !state.unreachable &&
-                    demotion->term > state.term)
-                {
-                    state.primary = false;
-                }
-                answer(demotion->instance);
+                step_down(*demotion);
             }
             else if (
                 const auto* order =
@@ -411,6 +443,10 @@
     /// missing.
     std::set<std::string> shutting_down_;
     std::set<std::string> unregistered_;
+    /// Members that the other hosts, as far as the holder of the duty reaches
+    /// these, cannot reach.
+    std::set<std::string> unreachable_through_hosts_;
+    std::set<std::string> ignores_step_down_;
     /// Replicas that receive nothing from the primary.
     std::set<std::string> not_replicating_;
     std::vector<late_order> late_orders_;
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -720,3 +720,78 @@
     model.execute(model.late_orders_.front());
     EXPECT_FALSE(model.commit_lost_);
 }
+
+// Guards against commits of a primary that only other hosts reach, with a
+// replica that restarted after the accepted order: they are lost when the order
+// takes effect.
+TEST(failover_planner, primary_that_only_other_hosts_reach_steps_down_first)
+{
+    service_model::service model;
+    model.promotion_time_ = 1s;
+    model.run(1s);
+    model.members_["a"].unreachable = true;
+    while (model.accepted_.empty())
+    {
+        ASSERT_LT(model.now_, start + 5s);
+        model.tick(50ms, false);
+    }
+    EXPECT_FALSE(model.members_["a"].primary);
+    const auto ordered = model.accepted_.front().instance;
+    const std::string other = ordered == "b" ? "c" : "b";
+    model.not_replicating_ = {ordered};
+    model.crash(other);
+    model.now_ += 500ms;
+    model.restart(other);
+    model.commit();
+    model.run(1s);
+    EXPECT_EQ(model.primary_name(), ordered);
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against a primary that is out of reach when the order is sent, is
+// reached by another host later, and commits with a restarted replica.
+TEST(failover_planner, primary_steps_down_when_a_host_reaches_it_again)
+{
+    service_model::service model;
+    model.promotion_time_ = 1s;
+    model.run(1s);
+    model.members_["a"].unreachable = true;
+    model.unreachable_through_hosts_ = {"a"};
+    while (model.accepted_.empty())
+    {
+        ASSERT_LT(model.now_, start + 5s);
+        model.tick(50ms, false);
+    }
+    EXPECT_TRUE(model.members_["a"].primary);
+    model.unreachable_through_hosts_.clear();
+    model.tick(100ms, false);
+    model.tick(100ms, false);
+    EXPECT_FALSE(model.members_["a"].primary);
+}
+
+// Guards against a promotion that waits for the step-down of a primary that no
+// host reaches, or for ever for one that does not step down.
+TEST(failover_planner, order_waits_only_for_a_primary_that_answers_other_hosts)
+{
+    const auto time_to_order = [](bool reached_by_others)
+    {
+        service_model::service model;
+        model.run(1s);
+        model.members_["a"].unreachable = true;
+        model.ignores_step_down_ = {"a"};
+        if (!reached_by_others)
+        {
+            model.unreachable_through_hosts_ = {"a"};
+        }
+        const auto lost_at = model.now_;
+        while (model.orders_ == 0 && model.now_ < lost_at + 10s)
+        {
+            model.tick(50ms, true);
+        }
+        return model.now_ - lost_at;
+    };
+    const failover_planner::settings values;
+    const auto alone = time_to_order(false);
+    EXPECT_LE(alone, values.unresponsive_limit + 500ms);
+    EXPECT_LE(time_to_order(true), alone + values.step_down_limit + 50ms);
+}
--- a/tests/unit/unit-promotion_coordinator.cpp
+++ b/tests/unit/unit-promotion_coordinator.cpp
@@ -88,6 +88,13 @@
     }
 };
 
+class silent_member_relay : public member_relay
+{
+public:
+    void send(const relayed_command&) override {}
+    void set_handler(status_handler) override {}
+};
+
 /// Coordinator of host "b" on a store that other hosts use too.
 class duty : public testing::Test
 {
@@ -103,10 +110,11 @@
     one_key_store state;
     failing_promotion_api platform;
     failing_member_connector members;
+    silent_member_relay relay;
     upstream_directory directory{upstream_directory::settings{}};
     log::event_log events{{.descriptor = ::open("/dev/null", O_WRONLY)}};
-    promotion_coordinator coordinator{
-        io, state, platform, members, directory, {.host = "b"}, events};
+    promotion_coordinator coordinator{io,    state,     platform,      members,
+                                      relay, directory, {.host = "b"}, events};
 };
 
 } // namespace
--- a/tests/unit/unit-unchecked_tokens.cpp
+++ b/tests/unit/unit-unchecked_tokens.cpp
@@ -44,6 +44,7 @@
     run_with_reads(model, "a", 1s);
     EXPECT_GT(model.reads_, 10U);
     model.members_["a"].unreachable = true;
+    model.unreachable_through_hosts_ = {"a"};
     run_with_reads(model, "a", 5s);
     EXPECT_NE(model.primary_name(), "a");
     EXPECT_TRUE(model.members_["a"].primary);
@@ -153,6 +154,7 @@
     auto model = make_service();
     model.run(1s);
     model.members_["a"].unreachable = true;
+    model.unreachable_through_hosts_ = {"a"};
     model.run(5s);
     ASSERT_NE(model.primary_name(), "a");
     ASSERT_TRUE(model.members_["a"].primary);
