Let the primary lead on while the member of a pending order does not answer

Cause: a holder that took over a recorded order told the primary to step down at once, because the order may have been sent without an answer. If its member was lost, no member could lead: the other replica lacked the commits of the lost one, and the primary had been stopped. Change: while all other replicas are paused the primary commits nothing without the ordered member, so it steps down only if that member answers. A pause that an earlier holder asked for counts.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -359,7 +359,8 @@
     bool must_step_down_before_order(time_point now) const;
     /// True if the primary might commit without the member whose order is
     /// pending.
-    bool must_step_down_after_order(time_point now) const;
+    bool must_step_down_after_order(
+        const member_state* candidate, time_point now) const;
     /// True if the candidate has to pause too, because the primary cannot be
     /// asked to step down.
     bool must_pause_candidate(time_point now) const;
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -383,10 +383,23 @@
 }
 
 // A replica that does not answer may have restarted, which ends its pause.
-bool failover_planner::must_step_down_after_order(time_point now) const
+// While the others are paused the primary commits nothing without the
+// candidate. It goes on leading if the candidate does not answer, because
+// nobody else could lead if that member is lost.
+bool failover_planner::must_step_down_after_order(
+    const member_state* candidate, time_point now) const
 {
-    return !settings_.tokens_checked || order_unknown_ ||
-           candidate_is_deaf(now) || !other_replicas_are_paused(now);
+    const bool all_paused = std::all_of(
+        members_.begin(), members_.end(),
+        [this, now](const auto& entry)
+        {
+            const auto& member = entry.second;
+            return !is_other_replica(member, candidate_) ||
+                   (is_fresh(member, now) && is_paused(member));
+        });
+    const bool receives_nothing =
+        candidate != nullptr && (order_unknown_ || candidate_is_deaf(now));
+    return !settings_.tokens_checked || !all_paused || receives_nothing;
 }
 
 bool failover_planner::is_order_justified(
@@ -515,7 +528,7 @@
     if (pause && primary != nullptr)
     {
         update_deaf_candidate(*primary, candidate, now);
-        if (awaits_order(now) && must_step_down_after_order(now))
+        if (awaits_order(now) && must_step_down_after_order(candidate, now))
         {
             request_step_down(steps, false, now);
             return;
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -591,6 +591,29 @@
     }
 }
 
+// Guards against a primary that is stopped for a recorded order whose member is
+// lost: nobody else can lead then.
+TEST(failover_planner, primary_goes_on_if_an_ordered_member_is_lost)
+{
+    service_model::service model;
+    model.promotion_time_ = 1s;
+    model.run(1s);
+    model.leaving_ = {"a"};
+    model.update_planner();
+    while (model.accepted_.empty())
+    {
+        ASSERT_LT(model.now_, start + 5s);
+        model.tick(50ms, false);
+    }
+    model.members_[model.accepted_.front().instance].running = false;
+    model.transfer_duty();
+    model.run(12s);
+    const auto before = model.acknowledged_;
+    model.commit();
+    EXPECT_GT(model.acknowledged_, before);
+    EXPECT_FALSE(model.commit_lost_);
+}
+
 // Guards against a holder of the duty that forgets its own order because
 // another member takes the lead first, by an order that it does not know.
 TEST(failover_planner, keeps_its_order_when_another_member_is_promoted)
