--- a/tests/unit/service_model.hpp
+++ b/tests/unit/service_model.hpp
@@ -429,6 +429,18 @@
         }
     }
 
+    /// Runs until the platform has accepted an order.
+    /// @return false if that took more than 5 s
+    bool run_until_accepted()
+    {
+        const auto end = now_ + 5s;
+        while (accepted_.empty() && now_ < end)
+        {
+            tick(50ms, false);
+        }
+        return !accepted_.empty();
+    }
+
     std::map<std::string, member> members_;
     std::set<std::string> leaving_;
     /// Members that the holder of the duty does not know.
