Log and count what a host prepares on pooled connections

Nothing told under which name a statement stood on a pooled connection, or which step of a restore failed: the reply was "busy" with the cause request_invalid, which names neither.

Connections have a number for these lines.

--- a/src/pooling/connection_lease.cpp
+++ b/src/pooling/connection_lease.cpp
@@ -8,6 +8,14 @@
 namespace zinniahub::pooling
 {
 
+namespace
+{
+
+/// Clients choose shapes, which may be as long as a message.
+constexpr std::size_t max_logged_bytes = 80;
+
+} // namespace
+
 connection_lease::connection_lease(
     service_gateway& gateway, std::string instance,
     pooled_connection_ptr connection, duration latency_objective)
@@ -115,60 +123,89 @@
     co_return answer;
 }
 
-awaitable<result<void>> connection_lease::restore(
-    const session_values& session, const prepared_statement* needed,
-    duration timeout)
+awaitable<result<void>> connection_lease::run_restore_step(
+    const command& value, std::string_view step, duration timeout)
 {
-    const auto steps = connection_->values.plan(session, needed);
-    if (steps.empty())
+    const auto answer = co_await run(value, timeout);
+    if (answer && answer->ok())
     {
         co_return result<void>{};
     }
-    // A failed step leaves the connection in an unknown state, so it is closed.
-    const auto check = [this](const result<reply>& answer)
+    ++gateway_->restores_.failed;
+    gateway_->events_.write(
+        "restore_failed", {{"instance", instance_},
+                           {"customer", connection_->customer},
+                           {"connection", connection_->number},
+                           {"step", step},
+                           {"code", answer ? to_string(answer->code)
+                                           : to_string(answer.error().code)}});
+    connection_->link->close();
+    co_return fail(errc::connection_lost, std::string(step));
+}
+
+awaitable<result<void>>
+connection_lease::prepare(const prepared_statement& statement, duration timeout)
+{
+    const auto name = pooled_statement_name(statement);
+    const auto done = co_await run_restore_step(
+        {.kind = statement.writes ? command_kind::prepare_write
+                                  : command_kind::prepare_read,
+         .name = name,
+         .argument = statement.shape},
+        "prepare", timeout);
+    if (!done)
     {
-        if (answer && answer->ok())
-        {
-            return true;
-        }
-        connection_->link->close();
-        return false;
-    };
+        co_return done;
+    }
+    ++gateway_->restores_.statements_prepared;
+    gateway_->events_.write(
+        "statement_prepared",
+        {{"instance", instance_},
+         {"customer", connection_->customer},
+         {"connection", connection_->number},
+         {"name", std::string_view(name).substr(0, max_logged_bytes)},
+         {"writes", statement.writes},
+         {"shape",
+          std::string_view(statement.shape).substr(0, max_logged_bytes)}});
+    connection_->values.on_prepared(statement);
+    co_return done;
+}
+
+awaitable<result<void>> connection_lease::restore(
+    const session_values& session, const prepared_statement* needed,
+    duration timeout)
+{
+    const auto steps = connection_->values.plan(session, needed);
     if (steps.discard)
     {
-        const auto answer =
-            co_await run({.kind = command_kind::discard}, timeout);
-        if (!check(answer))
+        const auto done = co_await run_restore_step(
+            {.kind = command_kind::discard}, "discard", timeout);
+        if (!done)
         {
-            co_return fail(errc::connection_lost, "discard");
+            co_return done;
         }
+        ++gateway_->restores_.discarded;
         connection_->values.on_discarded();
     }
     for (const auto& [name, value] : steps.set)
     {
-        const auto answer = co_await run(
+        const auto done = co_await run_restore_step(
             {.kind = command_kind::set_value, .name = name, .argument = value},
-            timeout);
-        if (!check(answer))
+            "set_value", timeout);
+        if (!done)
         {
-            co_return fail(errc::connection_lost, "set value");
+            co_return done;
         }
+        ++gateway_->restores_.values_set;
         connection_->values.on_set(name, value);
     }
     for (const auto& statement : steps.prepare)
     {
-        const auto name = pooled_statement_name(statement);
-        const auto answer = co_await run(
-            {.kind = statement.writes ? command_kind::prepare_write
-                                      : command_kind::prepare_read,
-             .name = name,
-             .argument = statement.shape},
-            timeout);
-        if (!check(answer))
+        const auto done = co_await prepare(statement, timeout);
+        if (!done)
         {
-            co_return fail(errc::connection_lost, "prepare");
+            co_return done;
         }
-        connection_->values.on_prepared(statement);
     }
     co_return result<void>{};
 }
--- a/src/pooling/connection_lease.hpp
+++ b/src/pooling/connection_lease.hpp
@@ -5,6 +5,7 @@
 
 #include <zinniahub/session_values.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +15,16 @@
 
 class service_gateway;
 
+/// @brief Commands that gave pooled connections the state of a session.
+struct restore_counts
+{
+    std::uint64_t discarded = 0;
+    std::uint64_t values_set = 0;
+    std::uint64_t statements_prepared = 0;
+    /// A failed command closes the connection.
+    std::uint64_t failed = 0;
+};
+
 /// @brief A connection taken from a pool. Returns it when destroyed.
 class connection_lease
 {
@@ -62,6 +73,13 @@
 
 private:
     void on_call_finished(const result<reply>& answer, time_point sent_at);
+    /// Runs one command of a restore. A failed one leaves the connection in an
+    /// unknown state, so it is closed.
+    /// @param step name of the command for the log
+    awaitable<result<void>> run_restore_step(
+        const command& value, std::string_view step, duration timeout);
+    awaitable<result<void>>
+    prepare(const prepared_statement& statement, duration timeout);
 
     service_gateway* gateway_ = nullptr;
     std::string instance_;
--- a/src/pooling/connection_opener.cpp
+++ b/src/pooling/connection_opener.cpp
@@ -38,7 +38,7 @@
 connection_opener::connect(const member_address& target, duration limit)
 {
     pools_.of(target.instance).on_connecting();
-    ++opened_;
+    const auto number = ++opened_;
     auto link = co_await connector_.connect(target, limit);
     auto& pool = pools_.of(target.instance);
     if (!link)
@@ -57,6 +57,7 @@
     auto connection = std::make_unique<pooled_connection>();
     connection->link = std::move(*link);
     connection->customer = target.customer;
+    connection->number = number;
     co_return connection;
 }
 
--- a/src/pooling/member_pool.hpp
+++ b/src/pooling/member_pool.hpp
@@ -21,6 +21,8 @@
     std::unique_ptr<member_connection> link;
     connection_values values;
     std::string customer;
+    /// Number of the connection on this host, for logs.
+    std::uint64_t number = 0;
     time_point idle_since{};
 };
 
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -188,6 +188,10 @@
     {
         return opener_.failures();
     }
+    const restore_counts& restores() const
+    {
+        return restores_;
+    }
     /// @brief Positions that this host sampled at the primary.
     std::uint64_t samples_taken() const
     {
@@ -293,6 +297,7 @@
     std::string last_customer_;
     /// Rotation of the next read.
     std::uint64_t rotation_;
+    restore_counts restores_;
     std::uint64_t samples_taken_ = 0;
     std::uint64_t positions_received_ = 0;
 };
