--- /dev/null
+++ b/tests/integration/integration-platform_statements.cpp
@@ -0,0 +1,244 @@
+#include "support/hosted_proxy.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <thread>
+
+// Text that a client may choose freely, on its way to a member: one proxy
+// process in front of the members of one service.
+
+using namespace std::chrono_literals;
+using zinniahub::test::hosted_platform;
+using zinniahub::test::hosted_proxy;
+using zinniahub::test::hosted_run;
+using zinniahub::test::line_caller;
+
+namespace
+{
+
+class platform_statements : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        platform_.configure(1, {{"alba", "key-a"}, {"bea", "key-b"}}, 20000);
+        proxy_ = std::make_unique<hosted_proxy>(platform_, "n1");
+        ASSERT_TRUE(proxy_->wait_until_ready()) << proxy_->log();
+        for (int attempt = 0; attempt < 100; ++attempt)
+        {
+            line_caller caller(proxy_->address());
+            caller.start("latest", "key-a");
+            if (caller.run("FETCH probe").ok())
+            {
+                return;
+            }
+            std::this_thread::sleep_for(50ms);
+        }
+        FAIL() << "no share of the rate";
+    }
+
+    void TearDown() override
+    {
+        EXPECT_TRUE(proxy_->child().is_running());
+        const std::lock_guard lock(platform_.log().mutex);
+        EXPECT_TRUE(platform_.log().violations.empty())
+            << platform_.log().violations.front();
+        if (HasFailure())
+        {
+            GTEST_LOG_(INFO) << proxy_->log();
+        }
+    }
+
+    /// The runs of one statement.
+    std::vector<hosted_run> runs_of(const std::string& id)
+    {
+        std::vector<hosted_run> found;
+        const std::lock_guard lock(platform_.log().mutex);
+        for (const auto& run : platform_.log().runs)
+        {
+            if (run.id == id)
+            {
+                found.push_back(run);
+            }
+        }
+        return found;
+    }
+
+    /// Ids of all runs that are not those of statements of these tests.
+    std::vector<std::string> foreign_ids()
+    {
+        std::vector<std::string> found;
+        const std::lock_guard lock(platform_.log().mutex);
+        for (const auto& run : platform_.log().runs)
+        {
+            if (!run.id.starts_with("5c0e"))
+            {
+                found.push_back(run.id + " " + run.text);
+            }
+        }
+        return found;
+    }
+
+    hosted_platform platform_;
+    std::unique_ptr<hosted_proxy> proxy_;
+};
+
+/// A session with one prepared statement.
+struct prepared_session
+{
+    prepared_session(
+        const std::string& proxy, const std::string& statement_verb,
+        std::string statement_shape)
+        : caller(proxy)
+        , verb(statement_verb)
+        , shape(std::move(statement_shape))
+    {
+    }
+
+    bool start()
+    {
+        return caller.start("latest", "key-a").ok() &&
+               caller.run(fmt::format("PREPARE s1 {} {}", verb, shape)).ok();
+    }
+
+    line_caller caller;
+    std::string verb;
+    std::string shape;
+};
+
+/// Text of a run without the name of its prepared statement.
+std::string without_name(const std::string& text)
+{
+    const auto name = text.find(' ') + 1;
+    return text.substr(0, name) + text.substr(text.find(' ', name));
+}
+
+} // namespace
+
+// Guards against a prepared statement of one client that runs with the shape
+// of another, and against an executed text that is not the client's: a shape
+// may hold blanks, the name of a prepared statement may not.
+TEST_F(platform_statements, shapes_with_blanks_change_no_other_statement)
+{
+    std::size_t wrong_shapes = 0;
+    std::size_t changed_texts = 0;
+    std::size_t refused = 0;
+    const auto execute = [&](prepared_session& session, const std::string& tail)
+    {
+        const auto text = "EXECUTE s1 " + tail;
+        const auto reply = session.caller.run(text);
+        refused += reply.ok() ? 0 : 1;
+        for (const auto& run : runs_of(session.caller.last_id()))
+        {
+            wrong_shapes += run.shape == session.shape ? 0 : 1;
+            changed_texts +=
+                without_name(run.text) == without_name(text) ? 0 : 1;
+        }
+    };
+    for (int pair = 0; pair < 20; ++pair)
+    {
+        const auto plain = fmt::format("q{:x}", pair);
+        for (const std::string verb : {"FETCH", "PUT"})
+        {
+            const std::string tail = verb == "PUT" ? "#c data" : "#c";
+            prepared_session first(proxy_->address(), verb, plain);
+            prepared_session second(
+                proxy_->address(), verb, fmt::format("{} {} vp", plain, verb));
+            ASSERT_TRUE(first.start());
+            ASSERT_TRUE(second.start());
+            execute(first, tail);
+            execute(second, tail);
+            execute(first, tail);
+        }
+    }
+    EXPECT_EQ(wrong_shapes, 0U);
+    EXPECT_EQ(changed_texts, 0U);
+    EXPECT_EQ(refused, 0U);
+}
+
+// Guards against a legal shape that is refused with a code that says to come
+// back: no later attempt would succeed.
+TEST_F(platform_statements, any_shape_is_served)
+{
+    for (const std::string shape :
+         {"two words", "double  blank", "trailing ", " leading",
+          "PUT FETCH EXECUTE", "tab\tinside", "\x80\xff", "x FETCH y",
+          "QUERY - STATUS"})
+    {
+        prepared_session session(proxy_->address(), "PUT", shape);
+        ASSERT_TRUE(session.start()) << shape;
+        const auto reply = session.caller.run("EXECUTE s1 item  data ");
+        EXPECT_EQ(reply.code, "") << shape;
+        const auto runs = runs_of(session.caller.last_id());
+        ASSERT_EQ(runs.size(), 1U) << shape;
+        EXPECT_EQ(runs.front().shape, shape);
+        EXPECT_EQ(
+            without_name(runs.front().text),
+            without_name("EXECUTE s1 item  data "));
+    }
+}
+
+// Guards against a client's statement that a member takes for one of the
+// proxy's own, which no client sent.
+TEST_F(platform_statements, id_of_the_proxy_is_refused)
+{
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    EXPECT_EQ(caller.send_raw("QUERY - PUT item own\r\n").code, "MALFORMED");
+    EXPECT_EQ(foreign_ids(), std::vector<std::string>{});
+    EXPECT_TRUE(caller.run("FETCH item").ok());
+}
+
+// Guards against a second statement inside the text of the first, at a member
+// that ends messages at LF.
+TEST_F(platform_statements, line_breaks_inside_a_statement_are_refused)
+{
+    for (std::size_t index = 0; index < platform_.size(); ++index)
+    {
+        platform_.member(index).end_lines_at_lf(true);
+    }
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    for (const std::string text :
+         {"PUT item a\nQUERY 77 PUT other smuggled", "PUT item a\rb",
+          "SET colour red\nQUERY 78 PUT other smuggled",
+          "PREPARE s1 PUT a\nQUERY 79 PUT other smuggled", "FETCH \n"})
+    {
+        EXPECT_EQ(caller.run(text).code, "MALFORMED") << text;
+    }
+    EXPECT_EQ(foreign_ids(), std::vector<std::string>{});
+    EXPECT_TRUE(caller.run("FETCH item").ok());
+}
+
+// Guards against a message to a member that is longer than the protocol
+// allows, because the proxy renamed a statement or added a position.
+TEST_F(platform_statements, messages_at_the_limit_are_served)
+{
+    constexpr std::size_t limit = zinniahub::test::max_hosted_line;
+    for (const std::string database : {"latest", "session"})
+    {
+        for (const std::string start :
+             {"FETCH ", "PUT item ", "EXECUTE r ", "EXECUTE w item ",
+              "PREPARE s PUT ", "SET colour "})
+        {
+            line_caller caller(proxy_->address());
+            ASSERT_TRUE(caller.start(database, "key-a").ok());
+            ASSERT_TRUE(caller.run("PREPARE r FETCH shape").ok());
+            ASSERT_TRUE(caller.run("PREPARE w PUT shape").ok());
+            // "QUERY " and the id of 16 characters with its blank.
+            const auto text =
+                start + std::string(limit - 23 - start.size(), 'x');
+            EXPECT_EQ(caller.run(text).code, "") << database << " " << start;
+            EXPECT_EQ(caller.run("FETCH item").code, "")
+                << database << " " << start;
+            if (start.starts_with("PREPARE"))
+            {
+                EXPECT_EQ(caller.run("EXECUTE s item data").code, "");
+            }
+            EXPECT_EQ(caller.run(text + "x").code, "TOOLARGE")
+                << database << " " << start;
+        }
+    }
+}
--- a/tests/support/hosted_member.cpp
+++ b/tests/support/hosted_member.cpp
@@ -1,13 +1,11 @@
 #include "support/hosted_member.hpp"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <sstream>
+#include <array>
 #include <sys/socket.h>
 #include <thread>
 #include <utility>
@@ -258,6 +256,7 @@
          instance_,
          session.values,
          {},
+         false,
          true,
          log.primary,
          true,
@@ -286,6 +285,7 @@
         instance_,
         session.values,
         shape,
+        !shape.empty() && is_write,
         session.state == 'T',
         log.primary,
         false,
@@ -344,7 +344,8 @@
     auto text = line;
     if (take(text) != "QUERY")
     {
-        return {};
+        const std::lock_guard lock(shared_->mutex);
+        return violation(session, line);
     }
     const auto id = take(text);
     const auto whole = text;
@@ -386,9 +387,11 @@
     }
     if (word == "PREPARE")
     {
-        const auto name = take(rest);
-        const bool writes = take(rest) == "PUT";
-        session.prepared[name] = {writes, rest};
+        return prepare(session, rest);
+    }
+    if (word == "DEALLOCATE")
+    {
+        session.prepared.erase(rest);
         return "COMPLETE -\r\n" + ready(session);
     }
     if (word == "DISCARD")
@@ -400,7 +403,7 @@
     if (word == "FETCH" || word == "PUT")
     {
         const auto item = take(rest);
-        return data(session, id, whole, word == "PUT", item, rest, {});
+        return data(session, id, whole, word == "PUT", item, rest);
     }
     if (word == "EXECUTE")
     {
@@ -414,28 +417,88 @@
             session, id, whole, found->second.first, item, rest,
             found->second.second);
     }
+    const bool is_control = word == "STATUS" || word == "PAUSE" ||
+                            word == "RESUME" || word == "STEPDOWN";
+    if (!is_control)
+    {
+        return violation(session, line);
+    }
     return control(word, rest.empty() ? 0 : std::stoull(rest)) + ready(session);
 }
 
+std::string hosted_member::prepare(connection& session, std::string fields)
+{
+    const auto whole = fields;
+    const auto name = take(fields);
+    const auto verb = take(fields);
+    if (name.empty() || fields.empty() || (verb != "FETCH" && verb != "PUT"))
+    {
+        return violation(session, "PREPARE " + whole);
+    }
+    session.prepared[name] = {verb == "PUT", fields};
+    return "COMPLETE -\r\n" + ready(session);
+}
+
+/// Refuses a message that a correct proxy does not send.
+std::string
+hosted_member::violation(connection& session, const std::string& line)
+{
+    shared_->violations.push_back(instance_ + ": " + line.substr(0, 120));
+    return refuse(session, "MALFORMED");
+}
+
+std::optional<std::string>
+hosted_member::next_line(hosted_server::socket& peer, std::string& buffer) const
+{
+    while (true)
+    {
+        const auto end = buffer.find(lenient_lines_ ? "\n" : "\r\n");
+        if (end != std::string::npos)
+        {
+            auto line = buffer.substr(0, end);
+            buffer.erase(0, buffer.find('\n', end) + 1);
+            if (line.ends_with('\r') && lenient_lines_)
+            {
+                line.pop_back();
+            }
+            if (line.size() <= max_hosted_line)
+            {
+                return line;
+            }
+        }
+        if (buffer.size() > max_hosted_line + 2)
+        {
+            const std::lock_guard lock(shared_->mutex);
+            shared_->violations.push_back(instance_ + ": message too long");
+            return std::nullopt;
+        }
+        std::array<char, 16384> chunk{};
+        boost::system::error_code failure;
+        const auto count = peer.read_some(asio::buffer(chunk), failure);
+        if (failure)
+        {
+            return std::nullopt;
+        }
+        buffer.append(chunk.data(), count);
+    }
+}
+
 void hosted_member::serve(hosted_server::socket& peer)
 {
     ++open_;
     ++opened_;
     connection session;
-    asio::streambuf buffer;
+    std::string buffer;
     bool greeted = false;
     while (true)
     {
         boost::system::error_code failure;
-        asio::read_until(peer, buffer, "\r\n", failure);
-        if (failure)
+        const auto message = next_line(peer, buffer);
+        if (!message)
         {
             break;
         }
-        std::istream input(&buffer);
-        std::string line;
-        std::getline(input, line);
-        line.pop_back();
+        const auto& line = *message;
         const bool is_control =
             session.customer == control_customer ||
             (!greeted && line.find(control_customer) != std::string::npos);
--- a/tests/support/hosted_member.hpp
+++ b/tests/support/hosted_member.hpp
@@ -25,6 +25,9 @@
     log_position position;
 };
 
+/// @brief Longest message of the line protocol, without its terminator.
+inline constexpr std::size_t max_hosted_line = std::size_t{1} << 20;
+
 /// @brief A statement that a member ran.
 struct hosted_run
 {
@@ -36,6 +39,8 @@
     std::map<std::string, std::string> values;
     /// Shape of an executed prepared statement.
     std::string shape;
+    /// Whether the executed prepared statement writes.
+    bool shape_writes = false;
     bool in_transaction = false;
     bool as_primary = false;
     bool committed = false;
@@ -64,6 +69,9 @@
     std::condition_variable changed;
     std::map<std::string, member_log> members;
     std::vector<hosted_run> runs;
+    /// Messages that were not part of the protocol or longer than its limit,
+    /// with the reason.
+    std::vector<std::string> violations;
     /// Data of the rows whose commit a replica has received.
     std::vector<std::string> acknowledged;
 
@@ -116,6 +124,12 @@
     {
         control_ignored_ = value;
     }
+    /// @brief The member ends a message at a bare LF too, as lenient
+    /// implementations of line protocols do.
+    void end_lines_at_lf(bool value)
+    {
+        lenient_lines_ = value;
+    }
     /// @brief Time that each data statement takes.
     void set_work(std::chrono::milliseconds value)
     {
@@ -143,12 +157,18 @@
     };
 
     void serve(hosted_server::socket& peer);
+    /// Reads the next message; none when the connection has ended or the
+    /// message is too long.
+    std::optional<std::string>
+    next_line(hosted_server::socket& peer, std::string& buffer) const;
     std::string greet(const std::string& line, connection& session);
     std::string answer(const std::string& line, connection& session);
+    std::string prepare(connection& session, std::string fields);
+    std::string violation(connection& session, const std::string& line);
     std::string data(
         connection& session, const std::string& id, const std::string& text,
         bool is_write, const std::string& item, const std::string& value,
-        const std::string& shape);
+        const std::string& shape = {});
     std::string begin(connection& session, bool read_only);
     std::string commit(connection& session, const std::string& id);
     void append(connection& session);
@@ -168,6 +188,7 @@
     std::atomic<bool> lose_answers_{false};
     std::atomic<bool> silent_{false};
     std::atomic<bool> control_ignored_{false};
+    std::atomic<bool> lenient_lines_{false};
     std::atomic<std::int64_t> work_ms_{0};
     std::atomic<unsigned> open_{0};
     std::atomic<unsigned> opened_{0};
