Make client text a typed field, and names on pooled connections the host's own

Cause: the name of a prepared statement on a pooled connection was its shape. A shape may hold blanks and a name may not, so a member read the name up to the first blank and registered the rest as another shape under it, in place of the statement that stood there. Class: text from outside inside a field that ends at a separator. The same class let a statement with the id of the proxy run as one of the proxy's own, let a bare LF start a second statement at a member that ends messages there, and let a renamed or prefixed message outgrow the limit, which broke the connection.

Change: a name is one letter or digit that belongs to the connection. It holds no client text, is equal only for equal statements, and never makes a message longer. A client's line with CR or LF inside, or with the id of the proxy, gets MALFORMED and the session goes on; so does an oversize one (TOOLARGE), whose rest is skipped. A read that is too long with a position runs on the primary. A session holds 4 MiB. After NOSTMT nothing that a connection held is relied on, in a transaction too, which is told ABORTED. A shape that a member rejects is answered MALFORMED instead of BUSY.

--- a/include/zinniahub/session_values.hpp
+++ b/include/zinniahub/session_values.hpp
@@ -1,8 +1,13 @@
 #pragma once
 
+#include <zinniahub/error.hpp>
+
+#include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace zinniahub
@@ -14,21 +19,63 @@
     bool writes = false;
     std::string shape;
 
-    friend bool
-    operator==(const prepared_statement&, const prepared_statement&) = default;
+    friend auto
+    operator<=>(const prepared_statement&, const prepared_statement&) = default;
 };
 
 /// @brief Session variables and prepared statements that a client has set.
-struct session_values
+class session_values
 {
-    std::map<std::string, std::string, std::less<>> values;
-    std::map<std::string, prepared_statement, std::less<>> prepared;
+public:
+    using value_map = std::map<std::string, std::string, std::less<>>;
+
+    /// Limit on the names, values and shapes of a session together, in bytes.
+    static constexpr std::size_t max_bytes = std::size_t{4} << 20;
+    /// Added to the bytes of each entry for its place in memory.
+    static constexpr std::size_t entry_overhead_bytes = 128;
+
+    /// @brief Sets a session variable.
+    /// @return `errc::value_too_large`, with nothing changed, if the session
+    /// would exceed `max_bytes`
+    result<void> set(std::string_view name, std::string_view value);
+
+    /// @brief Adds or replaces a prepared statement.
+    /// @return as `set`
+    result<void> prepare(std::string_view name, prepared_statement statement);
+
+    /// @brief Removes a prepared statement if there is one.
+    void deallocate(std::string_view name);
+
+    /// @brief Returns a prepared statement, or null if there is none. It stays
+    /// valid until the next change of prepared statements.
+    const prepared_statement* find_prepared(std::string_view name) const;
+
+    const value_map& values() const
+    {
+        return values_;
+    }
+
+    /// @brief Bytes that count towards `max_bytes`.
+    std::size_t bytes() const
+    {
+        return bytes_;
+    }
+
+private:
+    /// Reserves `added` bytes in place of `released` ones.
+    result<void> reserve(std::size_t added, std::size_t released);
+
+    value_map values_;
+    std::map<std::string, prepared_statement, std::less<>> prepared_;
+    std::size_t bytes_ = 0;
 };
 
-/// @brief Returns the name of a prepared statement on pooled connections. It
-/// depends on the statement only, so sessions with equal statements share it
-/// and names chosen by clients cannot collide.
-std::string pooled_statement_name(const prepared_statement& statement);
+/// @brief Prepared statement and its name on a pooled connection.
+struct pooled_statement
+{
+    std::string name;
+    prepared_statement statement;
+};
 
 /// @brief Commands that prepare a pooled connection for a statement of a
 /// session.
@@ -37,41 +84,65 @@
     /// True if all values and prepared statements must be discarded first.
     bool discard = false;
     std::vector<std::pair<std::string, std::string>> set;
-    std::vector<prepared_statement> prepare;
+    std::optional<pooled_statement> prepare;
 
     bool empty() const
     {
-        return !discard && set.empty() && prepare.empty();
+        return !discard && set.empty() && !prepare;
     }
 };
 
 /// @brief Session state of a pooled connection. The connection must not be
 /// reused after a failed command.
+///
+/// A prepared statement has a name of one letter or digit that belongs to the
+/// connection. No text of a client is part of it, so two statements never share
+/// a name, and a message with this name is not longer than the client's.
 class connection_values
 {
 public:
+    /// Letters and digits of ASCII.
+    static constexpr std::size_t max_statements = 62;
+    /// Limit on the shapes that a connection holds, in bytes; a single shape
+    /// may be longer.
+    static constexpr std::size_t max_shape_bytes = std::size_t{256} << 10;
+
     /// @brief Returns the commands that set exactly the session's values and
-    /// prepare the next statement.
+    /// prepare the next statement. A connection that cannot hold one more
+    /// statement is discarded first.
     /// @param needed prepared statement to execute next, or null
     /// @complexity linear in the number of values
     restore_plan
     plan(const session_values& session, const prepared_statement* needed) const;
 
     void on_discarded();
-    void on_set(const std::string& name, const std::string& value);
-    void on_prepared(const prepared_statement& statement);
-    /// @brief Call it when the member rejected the statement as not prepared.
-    void on_statement_unknown(const prepared_statement& statement);
+    void on_set(std::string_view name, std::string_view value);
+    void on_prepared(const pooled_statement& added);
+    /// @brief Call it when the member rejected a statement as not prepared. It
+    /// has then lost its session state, of which nothing is relied on.
+    void on_statement_unknown()
+    {
+        is_unknown_ = true;
+    }
+
+    /// @brief Name under which a statement is prepared; empty if it is not.
+    std::string_view name_of(const prepared_statement& statement) const;
 
     /// @brief Returns true if the values equal those of the session.
     bool matches(const session_values& session) const
     {
-        return values_ == session.values;
+        return !is_unknown_ && values_ == session.values();
     }
 
 private:
-    std::map<std::string, std::string, std::less<>> values_;
-    std::map<std::string, prepared_statement, std::less<>> prepared_;
+    bool can_hold(const prepared_statement& statement) const;
+
+    session_values::value_map values_;
+    /// Names of the prepared statements.
+    std::map<prepared_statement, std::string> prepared_;
+    std::size_t shape_bytes_ = 0;
+    /// True if the member may not hold what is recorded here.
+    bool is_unknown_ = false;
 };
 
 } // namespace zinniahub
--- a/src/lib/session_values.cpp
+++ b/src/lib/session_values.cpp
@@ -5,21 +5,90 @@
 namespace zinniahub
 {
 
-std::string pooled_statement_name(const prepared_statement& statement)
+namespace
 {
-    return (statement.writes ? "w_" : "r_") + statement.shape;
+
+/// Names on a pooled connection, in the order of their use.
+constexpr std::string_view statement_names =
+    "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+static_assert(statement_names.size() == connection_values::max_statements);
+
+std::size_t entry_bytes(std::string_view name, std::string_view content)
+{
+    return session_values::entry_overhead_bytes + name.size() + content.size();
+}
+
+} // namespace
+
+result<void> session_values::reserve(std::size_t added, std::size_t released)
+{
+    if (bytes_ - released + added > max_bytes)
+    {
+        return fail(
+            errc::value_too_large,
+            "the values and prepared statements of the session are too large");
+    }
+    bytes_ = bytes_ - released + added;
+    return {};
+}
+
+result<void> session_values::set(std::string_view name, std::string_view value)
+{
+    const auto found = values_.find(name);
+    const auto released =
+        found == values_.end() ? 0 : entry_bytes(name, found->second);
+    auto reserved = reserve(entry_bytes(name, value), released);
+    if (reserved)
+    {
+        values_.insert_or_assign(std::string(name), std::string(value));
+    }
+    return reserved;
+}
+
+result<void>
+session_values::prepare(std::string_view name, prepared_statement statement)
+{
+    const auto found = prepared_.find(name);
+    const auto released =
+        found == prepared_.end() ? 0 : entry_bytes(name, found->second.shape);
+    auto reserved = reserve(entry_bytes(name, statement.shape), released);
+    if (reserved)
+    {
+        prepared_.insert_or_assign(std::string(name), std::move(statement));
+    }
+    return reserved;
+}
+
+void session_values::deallocate(std::string_view name)
+{
+    const auto found = prepared_.find(name);
+    if (found != prepared_.end())
+    {
+        bytes_ -= entry_bytes(name, found->second.shape);
+        prepared_.erase(found);
+    }
+}
+
+const prepared_statement*
+session_values::find_prepared(std::string_view name) const
+{
+    const auto found = prepared_.find(name);
+    return found == prepared_.end() ? nullptr : &found->second;
 }
 
 restore_plan connection_values::plan(
     const session_values& session, const prepared_statement* needed) const
 {
+    const auto& wanted = session.values();
+    const bool is_missing = needed != nullptr && !prepared_.contains(*needed);
     restore_plan steps;
     // A single value cannot be unset, so all are discarded.
-    steps.discard = std::any_of(
-        values_.begin(), values_.end(),
-        [&session](const auto& entry)
-        { return !session.values.contains(entry.first); });
-    for (const auto& [name, value] : session.values)
+    steps.discard = is_unknown_ || (is_missing && !can_hold(*needed)) ||
+                    std::any_of(
+                        values_.begin(), values_.end(),
+                        [&wanted](const auto& entry)
+                        { return !wanted.contains(entry.first); });
+    for (const auto& [name, value] : wanted)
     {
         const auto current = values_.find(name);
         if (steps.discard || current == values_.end() ||
@@ -28,35 +97,49 @@
             steps.set.emplace_back(name, value);
         }
     }
-    if (needed != nullptr &&
-        (steps.discard || !prepared_.contains(pooled_statement_name(*needed))))
+    if (needed != nullptr && (steps.discard || is_missing))
     {
-        steps.prepare.push_back(*needed);
+        // Statements are only removed all at once.
+        const auto held = steps.discard ? 0 : prepared_.size();
+        steps.prepare = pooled_statement{
+            std::string(statement_names.substr(held, 1)), *needed};
     }
     return steps;
 }
 
+bool connection_values::can_hold(const prepared_statement& statement) const
+{
+    return prepared_.empty() ||
+           (prepared_.size() < max_statements &&
+            shape_bytes_ + statement.shape.size() <= max_shape_bytes);
+}
+
 void connection_values::on_discarded()
 {
     values_.clear();
     prepared_.clear();
+    shape_bytes_ = 0;
+    is_unknown_ = false;
 }
 
-void connection_values::on_set(
-    const std::string& name, const std::string& value)
+void connection_values::on_set(std::string_view name, std::string_view value)
 {
-    values_[name] = value;
+    values_.insert_or_assign(std::string(name), std::string(value));
 }
 
-void connection_values::on_prepared(const prepared_statement& statement)
+void connection_values::on_prepared(const pooled_statement& added)
 {
-    prepared_[pooled_statement_name(statement)] = statement;
+    if (prepared_.emplace(added.statement, added.name).second)
+    {
+        shape_bytes_ += added.statement.shape.size();
+    }
 }
 
-void connection_values::on_statement_unknown(
-    const prepared_statement& statement)
+std::string_view
+connection_values::name_of(const prepared_statement& statement) const
 {
-    prepared_.erase(pooled_statement_name(statement));
+    const auto found = prepared_.find(statement);
+    return found == prepared_.end() ? std::string_view{} : found->second;
 }
 
 } // namespace zinniahub
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -91,10 +91,12 @@
         }
         if (code == errc::statement_too_large || code == errc::request_invalid)
         {
-            co_await stream_->send(refuse(
+            auto refusal = refuse(
                 code == errc::statement_too_large ? reply_code::too_large
                                                   : reply_code::malformed,
-                next.error().detail));
+                next.error().detail);
+            refusal.state = state_;
+            co_return co_await stream_->send(refusal);
         }
         co_return false;
     }
@@ -141,22 +143,27 @@
     co_return refuse(reply_code::malformed, "unknown statement");
 }
 
+reply client_session::acknowledge(const result<void>& change)
+{
+    return change ? reply{.signature = "-"}
+                  : refuse(reply_code::too_large, change.error().detail);
+}
+
 reply client_session::set_session_value(const statement& value)
 {
-    values_.values[value.name] = value.argument;
-    return {.signature = "-"};
+    return acknowledge(values_.set(value.name, value.argument));
 }
 
 reply client_session::prepare(const statement& value)
 {
-    values_.prepared[value.name] = {
-        value.kind == statement_kind::prepare_write, value.argument};
-    return {.signature = "-"};
+    return acknowledge(values_.prepare(
+        value.name,
+        {value.kind == statement_kind::prepare_write, value.argument}));
 }
 
 reply client_session::deallocate(const statement& value)
 {
-    values_.prepared.erase(value.name);
+    values_.deallocate(value.name);
     return {.signature = "-"};
 }
 
@@ -278,7 +285,7 @@
     {
         ++trace_.attempts;
         std::optional<reply> answer;
-        if (is_read && may_use_replica())
+        if (is_read && may_use_replica() && !request.needs_primary)
         {
             answer = co_await read_on_member(value, request);
         }
@@ -340,10 +347,12 @@
     trace_.on_replica = !gateway.is_primary(trace_.instance);
     trace_.connected = clock::now();
     const auto* prepared = find_prepared(value);
-    if (!co_await lease->restore(values_, prepared, command_timeout))
+    const auto restored =
+        co_await lease->restore(values_, prepared, command_timeout);
+    if (!restored)
     {
         request.excluded.push_back(lease->instance());
-        co_return std::nullopt;
+        co_return refuse_rejected(restored.error());
     }
     // The position is taken again after the wait.
     required = gateway.required_position(clock::now(), route_->max_staleness);
@@ -353,8 +362,14 @@
         co_return std::nullopt;
     }
     const auto answer = co_await lease->forward(
-        value.id, member_text(value), with_own_commits(*required),
+        value, prepared, with_own_commits(*required),
         route_->statement_timeout);
+    if (!answer && answer.error().code == errc::statement_too_large)
+    {
+        // The primary runs it without a position.
+        request.needs_primary = true;
+        co_return std::nullopt;
+    }
     if (!answer)
     {
         lease->close();
@@ -367,7 +382,7 @@
     switch (answer->code)
     {
     case reply_code::unknown_prepared:
-        lease->forget_prepared(*prepared);
+        lease->on_statement_unknown();
         co_return std::nullopt;
     case reply_code::behind:
     case reply_code::busy:
@@ -396,9 +411,11 @@
     trace_.instance = lease->instance();
     trace_.connected = clock::now();
     const auto* prepared = find_prepared(value);
-    if (!co_await lease->restore(values_, prepared, command_timeout))
+    const auto restored =
+        co_await lease->restore(values_, prepared, command_timeout);
+    if (!restored)
     {
-        co_return std::nullopt;
+        co_return refuse_rejected(restored.error());
     }
     const auto checked_at = clock::now();
     if (!gateway.may_use_open_connection(lease->instance(), checked_at) ||
@@ -425,7 +442,7 @@
     }
     const auto sent_at = clock::now();
     const auto answer = co_await lease->forward(
-        value.id, member_text(value), std::nullopt, route_->statement_timeout);
+        value, prepared, std::nullopt, route_->statement_timeout);
     if (!answer)
     {
         lease->close();
@@ -463,7 +480,7 @@
     }
     if (answer->code == reply_code::unknown_prepared && *lease)
     {
-        lease->forget_prepared(*prepared);
+        lease->on_statement_unknown();
         co_return std::nullopt;
     }
     if (answer->code == reply_code::read_only ||
@@ -593,11 +610,19 @@
     }
     const auto sent_at = clock::now();
     const auto answer = co_await connection_.forward(
-        value.id, member_text(value), std::nullopt, route_->statement_timeout);
+        value, prepared, std::nullopt, route_->statement_timeout);
     if (!answer)
     {
         co_return on_transaction_failure(answer.error(), is_commit);
     }
+    if (answer->code == reply_code::unknown_prepared)
+    {
+        // The client was told that the statement is prepared.
+        connection_.on_statement_unknown();
+        state_ = transaction_state::failed;
+        co_return refuse(
+            reply_code::aborted, "the member lost the session state");
+    }
     if (answer->ok() && !read_only_ && !is_commit)
     {
         gateway.on_primary_confirmed(
@@ -633,6 +658,10 @@
                                                 : reply_code::in_doubt,
             "no answer to the commit");
     }
+    if (failure.code == errc::statement_rejected)
+    {
+        return refuse(reply_code::malformed, failure.detail);
+    }
     // A member rolls back when the connection ends before the commit.
     return refuse(reply_code::aborted, "the transaction was rolled back");
 }
@@ -662,22 +691,7 @@
     {
         return nullptr;
     }
-    const auto found = values_.prepared.find(value.name);
-    return found == values_.prepared.end() ? nullptr : &found->second;
-}
-
-std::string client_session::member_text(const statement& value) const
-{
-    const auto* prepared = find_prepared(value);
-    if (prepared == nullptr)
-    {
-        return value.text;
-    }
-    // Only the name of the prepared statement changes.
-    const auto at = value.text.find(value.name, value.text.find(' '));
-    auto text = value.text;
-    text.replace(at, value.name.size(), pooled_statement_name(*prepared));
-    return text;
+    return values_.find_prepared(value.name);
 }
 
 void client_session::advance_position(
@@ -698,6 +712,16 @@
     return refuse(refusal_code(failure_code), std::move(text));
 }
 
+std::optional<reply> client_session::refuse_rejected(const error& failure)
+{
+    if (failure.code != errc::statement_rejected)
+    {
+        return std::nullopt;
+    }
+    trace_.failure_code = failure.code;
+    return refuse(reply_code::malformed, failure.detail);
+}
+
 reply client_session::refuse_without_proof()
 {
     trace_.failure_code = errc::no_primary;
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -44,6 +44,8 @@
 private:
     awaitable<bool> serve_next();
     awaitable<reply> handle(const statement& value);
+    /// Reply to a change of the session's values.
+    reply acknowledge(const result<void>& change);
     reply set_session_value(const statement& value);
     reply prepare(const statement& value);
     reply deallocate(const statement& value);
@@ -70,12 +72,14 @@
 
     access_request make_request(const statement& value) const;
     const prepared_statement* find_prepared(const statement& value) const;
-    std::string member_text(const statement& value) const;
     bool writes(const statement& value) const;
     void advance_position(const std::optional<log_position>& position);
     reply refuse(reply_code code, std::string text);
     /// Refuses an operation that was not sent to a member.
     reply refuse_unsent(errc failure_code, std::string text);
+    /// Refuses an operation whose session state a member will always reject;
+    /// none after other failures, which another attempt may avoid.
+    std::optional<reply> refuse_rejected(const error& failure);
     /// Refuses an operation because no member is proven to be the primary.
     reply refuse_without_proof();
     /// Reply to a commit that a replaced primary may have acknowledged.
--- a/src/pooling/connection_lease.cpp
+++ b/src/pooling/connection_lease.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <fmt/format.h>
 
 namespace zinniahub::pooling
 {
@@ -14,6 +15,18 @@
 /// Clients choose shapes, which may be as long as a message.
 constexpr std::size_t max_logged_bytes = 80;
 
+/// True if a call failed before anything was sent.
+bool is_unsent(errc code)
+{
+    return code == errc::statement_too_large || code == errc::request_invalid;
+}
+
+/// True if a member would refuse the same command again.
+bool is_final(reply_code code)
+{
+    return code == reply_code::malformed || code == reply_code::too_large;
+}
+
 } // namespace
 
 connection_lease::connection_lease(
@@ -71,9 +84,9 @@
     }
 }
 
-void connection_lease::forget_prepared(const prepared_statement& statement)
+void connection_lease::on_statement_unknown()
 {
-    connection_->values.on_statement_unknown(statement);
+    connection_->values.on_statement_unknown();
 }
 
 void connection_lease::on_call_finished(
@@ -86,7 +99,7 @@
         pool.on_answer(*answer, clock::now());
         gateway_->update_lag(pool, *answer);
     }
-    else
+    else if (!is_unsent(answer.error().code))
     {
         pool.on_call_failed(clock::now());
     }
@@ -97,13 +110,16 @@
 }
 
 awaitable<result<reply>> connection_lease::forward(
-    std::string_view id, std::string_view text,
+    const statement& value, const prepared_statement* prepared,
     std::optional<log_position> wait_for, duration timeout)
 {
+    const auto name = prepared == nullptr
+                          ? std::string_view{}
+                          : connection_->values.name_of(*prepared);
     const auto sent_at = clock::now();
     gateway_->pools_.of(instance_).on_call_sent(sent_at);
     auto answer =
-        co_await connection_->link->forward(id, text, wait_for, timeout);
+        co_await connection_->link->forward({value, name, wait_for}, timeout);
     if (answer)
     {
         gateway_->pools_.of(instance_).on_statement_answered(
@@ -140,13 +156,16 @@
                            {"code", answer ? to_string(answer->code)
                                            : to_string(answer.error().code)}});
     connection_->link->close();
-    co_return fail(errc::connection_lost, std::string(step));
+    const bool is_rejected = answer && is_final(answer->code);
+    co_return fail(
+        is_rejected ? errc::statement_rejected : errc::connection_lost,
+        fmt::format("{} failed", step));
 }
 
 awaitable<result<void>>
-connection_lease::prepare(const prepared_statement& statement, duration timeout)
+connection_lease::prepare(const pooled_statement& added, duration timeout)
 {
-    const auto name = pooled_statement_name(statement);
+    const auto& [name, statement] = added;
     const auto done = co_await run_restore_step(
         {.kind = statement.writes ? command_kind::prepare_write
                                   : command_kind::prepare_read,
@@ -163,11 +182,11 @@
         {{"instance", instance_},
          {"customer", connection_->customer},
          {"connection", connection_->number},
-         {"name", std::string_view(name).substr(0, max_logged_bytes)},
+         {"name", name},
          {"writes", statement.writes},
          {"shape",
           std::string_view(statement.shape).substr(0, max_logged_bytes)}});
-    connection_->values.on_prepared(statement);
+    connection_->values.on_prepared(added);
     co_return done;
 }
 
@@ -199,13 +218,9 @@
         ++gateway_->restores_.values_set;
         connection_->values.on_set(name, value);
     }
-    for (const auto& statement : steps.prepare)
+    if (steps.prepare)
     {
-        const auto done = co_await prepare(statement, timeout);
-        if (!done)
-        {
-            co_return done;
-        }
+        co_return co_await prepare(*steps.prepare, timeout);
     }
     co_return result<void>{};
 }
--- a/src/pooling/connection_lease.hpp
+++ b/src/pooling/connection_lease.hpp
@@ -49,11 +49,17 @@
 
     /// @brief Gives the connection the session's values and the prepared
     /// statement.
+    /// @return `errc::statement_rejected` if the member will always refuse one
+    /// of them, `errc::connection_lost` after other failures; the connection is
+    /// then closed
     awaitable<result<void>> restore(
         const session_values& session, const prepared_statement* needed,
         duration timeout);
+    /// @brief Forwards a client's statement.
+    /// @param prepared statement that it executes, restored before, or null
+    /// @return as `member_connection::forward`
     awaitable<result<reply>> forward(
-        std::string_view id, std::string_view text,
+        const statement& value, const prepared_statement* prepared,
         std::optional<log_position> wait_for, duration timeout);
     awaitable<result<reply>> run(const command& value, duration timeout);
 
@@ -66,8 +72,8 @@
 
     /// @brief Ends an open transaction and returns the connection.
     void roll_back();
-    /// @brief The member does not know a prepared statement.
-    void forget_prepared(const prepared_statement& statement);
+    /// @brief The member does not know a prepared statement that it held.
+    void on_statement_unknown();
     void close();
     void reset();
 
@@ -79,7 +85,7 @@
     awaitable<result<void>> run_restore_step(
         const command& value, std::string_view step, duration timeout);
     awaitable<result<void>>
-    prepare(const prepared_statement& statement, duration timeout);
+    prepare(const pooled_statement& added, duration timeout);
 
     service_gateway* gateway_ = nullptr;
     std::string instance_;
--- a/src/pooling/messages.hpp
+++ b/src/pooling/messages.hpp
@@ -47,6 +47,17 @@
     std::string argument;
 };
 
+/// @brief A client's statement as it is sent to a member.
+struct forwarded_statement
+{
+    const statement& sent;
+    /// Name of the executed prepared statement on the connection, which
+    /// replaces the client's; empty for other statements.
+    std::string_view prepared_name = {};
+    /// The member refuses the statement if its log lacks this position.
+    std::optional<log_position> wait_for = std::nullopt;
+};
+
 /// @brief Commands that the proxy issues itself.
 enum class command_kind
 {
--- a/src/pooling/ports.hpp
+++ b/src/pooling/ports.hpp
@@ -22,19 +22,17 @@
 /// @brief One connection to a member. At most one call is in progress.
 ///
 /// A failed call leaves the connection unusable: `errc::connection_lost` if it
-/// broke, `errc::reply_timeout` if the member did not reply.
+/// broke, `errc::reply_timeout` if the member did not reply. After
+/// `errc::statement_too_large` and `errc::request_invalid` nothing was sent,
+/// and the connection is as before.
 class member_connection
 {
 public:
     virtual ~member_connection() = default;
 
     /// @brief Forwards a client's statement under its id.
-    /// @param text the client's text, with the name of a prepared
-    /// statement replaced if needed
-    /// @param wait_for the member refuses if its log lacks this position
-    virtual awaitable<result<reply>> forward(
-        std::string_view id, std::string_view text,
-        std::optional<log_position> wait_for, duration timeout) = 0;
+    virtual awaitable<result<reply>>
+    forward(forwarded_statement value, duration timeout) = 0;
 
     /// @brief Runs a command of the proxy itself.
     virtual awaitable<result<reply>>
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -41,6 +41,9 @@
     /// As `wait_until`, while no member is usable or requests have been
     /// waiting for long.
     time_point wait_until_busy = never;
+    /// No replica can run the request, because its message would be too long
+    /// with a position.
+    bool needs_primary = false;
     /// Members on which this request failed; they are not tried again.
     std::vector<std::string> excluded;
 };
--- a/tests/unit/unit-member_pool.cpp
+++ b/tests/unit/unit-member_pool.cpp
@@ -17,9 +17,7 @@
 class idle_link : public member_connection
 {
 public:
-    awaitable<result<reply>> forward(
-        std::string_view, std::string_view, std::optional<log_position>,
-        duration) override
+    awaitable<result<reply>> forward(forwarded_statement, duration) override
     {
         co_return reply{};
     }
--- a/tests/unit/unit-platform_line.cpp
+++ b/tests/unit/unit-platform_line.cpp
@@ -53,13 +53,115 @@
 TEST(platform_line, forwards_the_text_unchanged)
 {
     EXPECT_EQ(
-        encode_query("7", "FETCH  1a4 ", std::nullopt),
+        encode_query({decode_statement("7", "FETCH  1a4 ")}),
         "QUERY 7 FETCH  1a4 \r\n");
     EXPECT_EQ(
-        encode_query("7", "FETCH 1a4", log_position{3, 1207}),
+        encode_query(
+            {.sent = decode_statement("7", "FETCH 1a4"),
+             .wait_for = log_position{3, 1207}}),
         "QUERY 7 WAITLSN 3.1207 FETCH 1a4\r\n");
 }
 
+// Guards against an execution that changes anything but the name, wherever
+// else the name stands in the text.
+TEST(platform_line, replaces_the_name_of_an_executed_statement)
+{
+    for (const std::string text :
+         {"EXECUTE s1 #c", "EXECUTE E E E", "EXECUTE s1  two  blanks ",
+          "EXECUTE s1  ", "EXECUTE s1 s1 s1", "EXECUTE X\t \xff"})
+    {
+        const auto sent = decode_statement("7", text);
+        ASSERT_EQ(sent.kind, statement_kind::execute) << text;
+        const auto tail = text.substr(text.find(' ', 8));
+        EXPECT_EQ(
+            encode_query({.sent = sent, .prepared_name = "4"}),
+            "QUERY 7 EXECUTE 4" + tail + "\r\n")
+            << text;
+    }
+}
+
+// Guards against a field that a peer reads as two, or as the end of the
+// message.
+TEST(platform_line, refuses_text_that_is_not_a_field)
+{
+    for (const std::string bad : {"", " ", "a b", " a", "a ", "a\r", "\na"})
+    {
+        EXPECT_FALSE(line_field::make(bad)) << bad;
+        EXPECT_FALSE(encode_startup(bad, "customer", "i-1")) << bad;
+        EXPECT_FALSE(encode_startup("service", bad, "i-1")) << bad;
+        EXPECT_FALSE(encode_command(
+            {.kind = pooling::command_kind::set_value, .name = bad}))
+            << bad;
+        EXPECT_FALSE(encode_query({decode_statement(bad, "COMMIT")})) << bad;
+    }
+    for (const std::string good : {"a", "\t", "\x80", "\xff", "-"})
+    {
+        EXPECT_TRUE(line_field::make(good)) << good;
+    }
+    for (const std::string bad : {"\r", "\n", "a\nb", "a\r\nQUERY - STATUS"})
+    {
+        EXPECT_FALSE(line_text::make(bad)) << bad;
+        EXPECT_FALSE(encode_startup("service", "customer", bad)) << bad;
+        EXPECT_FALSE(encode_query({decode_statement("7", "PUT a " + bad)}));
+        EXPECT_FALSE(decode_client_line("QUERY 7 PUT a " + bad)) << bad;
+        EXPECT_FALSE(reply_decoder().on_line("DATAROW " + bad)) << bad;
+        EXPECT_FALSE(reply_decoder().on_line("ERROR FAILED " + bad)) << bad;
+    }
+    for (const std::string good : {"", " ", "  a  b ", "\t", "\x80\xff"})
+    {
+        EXPECT_TRUE(line_text::make(good)) << good;
+    }
+    EXPECT_TRUE(line_text::make(std::string_view("\0x", 2)));
+}
+
+// Guards against a message of a client that passes as one of the proxy.
+TEST(platform_line, refuses_the_id_of_the_proxy)
+{
+    const auto message = decode_client_line("QUERY - FETCH a");
+    ASSERT_FALSE(message);
+    EXPECT_EQ(message.error().code, errc::request_invalid);
+    for (const auto* text :
+         {"STATUS", "PAUSE 9", "RESUME", "STEPDOWN 9", "DISCARD",
+          "WAITLSN 1.1 FETCH a", "WAITLSN 1.1 BEGIN FETCH"})
+    {
+        EXPECT_EQ(decode_statement("7", text).kind, statement_kind::invalid)
+            << text;
+    }
+}
+
+// Guards against a message beyond the limit of the protocol.
+TEST(platform_line, refuses_messages_beyond_the_limit)
+{
+    const std::string item(max_line_bytes - 14, 'x');
+    const auto longest = decode_statement("7", "FETCH " + item);
+    const auto encoded = encode_query({longest});
+    ASSERT_TRUE(encoded);
+    EXPECT_EQ(encoded->size(), max_line_bytes + 2);
+    const auto with_position =
+        encode_query({.sent = longest, .wait_for = log_position{1, 1}});
+    ASSERT_FALSE(with_position);
+    EXPECT_EQ(with_position.error().code, errc::statement_too_large);
+}
+
+// Guards against a statement that a member reads otherwise than its client
+// wrote it, for any text.
+TEST(platform_line, member_reads_what_the_client_wrote)
+{
+    EXPECT_TRUE(rc::check(
+        [](const std::string& id, const std::string& text)
+        {
+            const auto line = "QUERY " + id + " " + text;
+            const auto message = decode_client_line(line);
+            const bool is_legal = line_field::make(id) && id != "-" &&
+                                  line_text::make(text) && !text.empty();
+            RC_ASSERT(!is_legal || message);
+            if (message)
+            {
+                RC_ASSERT(encode_query({message->query}) == line + "\r\n");
+            }
+        }));
+}
+
 // Guards against replies that are decoded with missing or swapped fields.
 TEST(platform_line, decodes_replies)
 {
