--- a/src/observability/event_log.cpp
+++ b/src/observability/event_log.cpp
@@ -95,10 +95,10 @@
 {
     const value_writer writer{pending_};
     fmt::format_to(
-        std::back_inserter(pending_), R"({{"ts":{},"up_ms":{},"node":"{}")",
+        std::back_inserter(pending_), R"({{"ts":{},"up_ms":{},"node":)",
         unix_ms(),
-        clock::now().time_since_epoch() / std::chrono::milliseconds(1),
-        settings_.node);
+        clock::now().time_since_epoch() / std::chrono::milliseconds(1));
+    writer(std::string_view(settings_.node));
     pending_ += R"(,"event":)";
     writer(kind);
     for (const auto& entry : fields)
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -118,6 +118,25 @@
     }
 }
 
+std::string escape_label(std::string_view value)
+{
+    std::string out;
+    for (const char character : value)
+    {
+        if (character == '\n')
+        {
+            out += "\\n";
+            continue;
+        }
+        if (character == '"' || character == '\\')
+        {
+            out += '\\';
+        }
+        out += character;
+    }
+    return out;
+}
+
 counter& registry::counter_of(const std::string& name)
 {
     const std::lock_guard lock(mutex_);
@@ -165,8 +184,9 @@
         for (const auto& [name, series] : classes)
         {
             series->write(
-                out,
-                fmt::format("customer=\"{}\",class=\"{}\"", customer, name));
+                out, fmt::format(
+                         "customer=\"{}\",class=\"{}\"", escape_label(customer),
+                         escape_label(name)));
         }
     }
     return out;
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -71,6 +71,10 @@
     std::uint64_t replica_reads_ = 0;
 };
 
+/// @brief Returns the value of a label as the text exposition format writes it
+/// between quotes.
+std::string escape_label(std::string_view value);
+
 /// @brief All counters and histograms of a process.
 class registry
 {
--- a/src/serve/proxy_server.cpp
+++ b/src/serve/proxy_server.cpp
@@ -591,7 +591,9 @@
     for (const auto& [name, group] : groups_)
     {
         metrics_.set_gauge(
-            fmt::format("zinniahub_group_term{{group=\"{}\"}}", name),
+            fmt::format(
+                "zinniahub_group_term{{group=\"{}\"}}",
+                metrics::escape_label(name)),
             static_cast<double>(group->view().term));
     }
 }
--- a/src/traffic/customer_admission.cpp
+++ b/src/traffic/customer_admission.cpp
@@ -26,9 +26,11 @@
     , name_(std::move(name))
     , token_wait_(token_wait)
     , granted_(metrics.counter_of(fmt::format(
-          "zinniahub_tokens_granted_total{{customer=\"{}\"}}", name_)))
+          "zinniahub_tokens_granted_total{{customer=\"{}\"}}",
+          metrics::escape_label(name_))))
     , refused_(metrics.counter_of(fmt::format(
-          "zinniahub_rate_refusals_total{{customer=\"{}\"}}", name_)))
+          "zinniahub_rate_refusals_total{{customer=\"{}\"}}",
+          metrics::escape_label(name_))))
     , holder_(clock::now())
 {
 }
--- a/src/traffic/group_traffic.cpp
+++ b/src/traffic/group_traffic.cpp
@@ -53,7 +53,9 @@
 
 std::string counter_name(std::string_view metric, std::string_view group)
 {
-    return fmt::format("zinniahub_{}_total{{group=\"{}\"}}", metric, group);
+    return fmt::format(
+        "zinniahub_{}_total{{group=\"{}\"}}", metric,
+        metrics::escape_label(group));
 }
 
 log_position position_of(const v1::MemberReply& reply)
--- a/tests/unit/unit-event_log.cpp
+++ b/tests/unit/unit-event_log.cpp
@@ -73,13 +73,15 @@
 // Guards against lines that are not valid JSON.
 TEST_F(event_pipe, writes_one_object_per_line)
 {
-    event_log events(settings(10));
+    auto values = settings(10);
+    values.node = "node \"1\"";
+    event_log events(values);
     events.write(
         "sample", {{"id", "a\"b\n\xFF"}, {"attempts", 3U}, {"late", true}});
     const auto lines = read_lines();
     ASSERT_EQ(lines.size(), 1U);
     EXPECT_EQ(lines[0]["event"], "sample");
-    EXPECT_EQ(lines[0]["node"], "node-1");
+    EXPECT_EQ(lines[0]["node"], "node \"1\"");
     EXPECT_EQ(lines[0]["id"], "a\"b\n\xEF\xBF\xBD");
     EXPECT_EQ(lines[0]["attempts"], 3);
     EXPECT_EQ(lines[0]["late"], true);
--- a/tests/unit/unit-metrics.cpp
+++ b/tests/unit/unit-metrics.cpp
@@ -67,6 +67,19 @@
         R"(zinniahub_requests_total{customer="plant-lodz",class="other",verdict="done"} 68)"));
 }
 
+// Guards against a label that ends early, and hides or forges other metrics.
+TEST(metrics, labels_from_outside_are_escaped)
+{
+    EXPECT_EQ(zinniahub::metrics::escape_label("a\"b\\c\nd"), R"(a\"b\\c\nd)");
+    registry numbers;
+    numbers.series_of("plant", "x\"} 1\nforged 2")
+        .record(verdict::done, errc{}, false, 1ms);
+    const auto text = numbers.expose();
+    EXPECT_FALSE(contains(text, "\nforged")) << text;
+    EXPECT_TRUE(contains(text, R"(class="x\"} 1\nforged 2",verdict="done"} 1)"))
+        << text;
+}
+
 // Guards against a request that may have run and is counted as not run.
 TEST(metrics, verdicts_of_reply_codes)
 {
--- a/tests/unit/unit-odd_records.cpp
+++ b/tests/unit/unit-odd_records.cpp
@@ -44,6 +44,37 @@
 
 } // namespace
 
+// Guards against a name from the store that a member reads as several fields
+// or as the end of a message.
+TEST(odd_records, names_that_are_no_fields_are_skipped)
+{
+    for (const std::string bad : {"", " ", "a b", "a ", "a\rb", "a\nb"})
+    {
+        const auto quoted = json(bad).dump();
+        EXPECT_FALSE(decode_member(bad, member_text)) << quoted;
+        EXPECT_FALSE(decode_member("i-1", with_field("service", quoted)))
+            << quoted;
+        const json document{
+            {"version", 3},
+            {"services", {{{"name", bad}}, {{"name", "ledger"}}}},
+            {"tenants",
+             {{{"name", bad}, {"api_keys", {"k1"}}},
+              {{"name", "alba"}, {"api_keys", {"k2"}}}}},
+            {"routes",
+             {{{"host", bad}, {"service", "ledger"}, {"type", "primary"}},
+              {{"host", "db"}, {"service", bad}, {"type", "primary"}},
+              {{"host", "db"}, {"service", "ledger"}, {"type", "primary"}}}}};
+        const auto decoded = decode_configuration(document.dump());
+        ASSERT_TRUE(decoded) << quoted;
+        EXPECT_EQ(decoded->unreadable, 4U) << quoted;
+        EXPECT_EQ(decoded->services.size(), 1U) << quoted;
+        EXPECT_EQ(decoded->routes.size(), 1U) << quoted;
+        EXPECT_EQ(decoded->customers.size(), 1U) << quoted;
+        EXPECT_EQ(decoded->keys.customer_of("k1"), nullptr) << quoted;
+        EXPECT_NE(decoded->keys.customer_of("k2"), nullptr) << quoted;
+    }
+}
+
 // Guards against a member that can never be reached but counts as one.
 TEST(odd_records, addresses_that_cannot_be_reached_name_no_member)
 {
--- a/tests/unit/unit-platform_records.cpp
+++ b/tests/unit/unit-platform_records.cpp
@@ -148,6 +148,21 @@
     EXPECT_EQ(batch.revision, 9U);
 }
 
+// Guards against a name that ends a header or a key early.
+TEST(platform_records, refuses_a_node_name_that_is_no_field)
+{
+    for (const std::string name : {"n 1", "n\\r1", "n\\n1"})
+    {
+        const auto settings = parse_settings(
+            "node_name = \"" + name +
+            "\"\n[listen_addrs]\nfrontend = \"127.0.0.1:1\"\n"
+            "ready = \"127.0.0.1:2\"\n[platform]\naddress = "
+            "\"127.0.0.1:3\"\n");
+        ASSERT_FALSE(settings) << name;
+        EXPECT_EQ(settings.error().code, errc::settings_range) << name;
+    }
+}
+
 // Guards against settings that are read from the wrong key.
 TEST(platform_records, reads_the_settings_file)
 {
