Test failures in the middle of a restore, bounds of session state, and bad input

The stand-in of a member can refuse the n-th statement of a kind and drop the state of its connections.

--- a/tests/integration/integration-platform_statements.cpp
+++ b/tests/integration/integration-platform_statements.cpp
@@ -4,7 +4,10 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <map>
+#include <string>
 #include <thread>
+#include <vector>
 
 // Text that a client may choose freely, on its way to a member: one proxy
 // process in front of the members of one service.
@@ -242,3 +245,166 @@
         }
     }
 }
+
+// Guards against a connection that counts as restored after a failure half-way:
+// a later statement would run with the values of another session.
+TEST_F(platform_statements, restore_that_fails_half_way_is_not_relied_on)
+{
+    for (const std::string word : {"SET", "PREPARE", "DISCARD"})
+    {
+        for (unsigned passed = 0; passed < 3; ++passed)
+        {
+            for (std::size_t index = 0; index < platform_.size(); ++index)
+            {
+                platform_.member(index).refuse_statements(
+                    word, "BUSY", passed, 1);
+            }
+            for (int session = 0; session < 4; ++session)
+            {
+                line_caller caller(proxy_->address());
+                ASSERT_TRUE(caller.start("latest", "key-a").ok());
+                std::map<std::string, std::string> values;
+                for (int value = 0; value <= session; ++value)
+                {
+                    const auto name = fmt::format("v{}", value);
+                    values[name] = fmt::format("{} of {}", value, session);
+                    ASSERT_TRUE(
+                        caller.run("SET " + name + " " + values[name]).ok());
+                }
+                const auto shape = fmt::format("q{} {}", session, word);
+                ASSERT_TRUE(caller.run("PREPARE s PUT " + shape).ok());
+                EXPECT_EQ(caller.run("EXECUTE s item data").code, "");
+                for (const auto& run : runs_of(caller.last_id()))
+                {
+                    EXPECT_EQ(run.shape, shape) << word;
+                    EXPECT_EQ(run.values, values) << word;
+                }
+            }
+        }
+    }
+}
+
+// Guards against a host that relies on what a member held before it dropped the
+// state of its connections, and against NOSTMT for an acknowledged PREPARE.
+TEST_F(platform_statements, dropped_session_state_is_restored)
+{
+    const auto drop = [this]
+    {
+        for (std::size_t index = 0; index < platform_.size(); ++index)
+        {
+            platform_.member(index).drop_session_state();
+        }
+    };
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    ASSERT_TRUE(caller.run("SET colour red").ok());
+    ASSERT_TRUE(caller.run("PREPARE s PUT shape").ok());
+    ASSERT_TRUE(caller.run("EXECUTE s item data").ok());
+    drop();
+    EXPECT_EQ(caller.run("EXECUTE s item data").code, "");
+    const auto runs = runs_of(caller.last_id());
+    ASSERT_EQ(runs.size(), 1U);
+    EXPECT_EQ(runs.front().shape, "shape");
+    EXPECT_EQ(runs.front().values.at("colour"), "red");
+
+    ASSERT_EQ(caller.run("BEGIN").state, "T");
+    ASSERT_TRUE(caller.run("EXECUTE s item data").ok());
+    drop();
+    const auto lost = caller.run("EXECUTE s item data");
+    EXPECT_EQ(lost.code, "ABORTED");
+    EXPECT_EQ(lost.state, "E");
+    EXPECT_EQ(caller.run("ROLLBACK").state, "I");
+    ASSERT_EQ(caller.run("BEGIN").state, "T");
+    EXPECT_EQ(caller.run("EXECUTE s item data").code, "");
+    EXPECT_EQ(caller.run("COMMIT").code, "");
+}
+
+// Guards against a refusal that says to come back where it can never work, and
+// against one that harms the next client.
+TEST_F(platform_statements, rejected_shape_is_reported_as_such)
+{
+    for (std::size_t index = 0; index < platform_.size(); ++index)
+    {
+        platform_.member(index).refuse_statements("PREPARE", "MALFORMED", 0, 1);
+    }
+    prepared_session rejected(proxy_->address(), "PUT", "shape");
+    ASSERT_TRUE(rejected.start());
+    EXPECT_EQ(rejected.caller.run("EXECUTE s1 item data").code, "MALFORMED");
+    prepared_session next(proxy_->address(), "PUT", "shape");
+    ASSERT_TRUE(next.start());
+    EXPECT_EQ(next.caller.run("EXECUTE s1 item data").code, "");
+}
+
+// Guards against bad input that changes anything but its own answer: the
+// session, its transaction and its values stay.
+TEST_F(platform_statements, bad_input_leaves_the_session_as_it_was)
+{
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    ASSERT_TRUE(caller.run("SET colour red").ok());
+    ASSERT_EQ(caller.run("BEGIN").state, "T");
+    ASSERT_TRUE(caller.run("PUT item kept").ok());
+    const std::string too_long(zinniahub::test::max_hosted_line + 5000, 'x');
+    for (const std::string line :
+         {std::string("QUERY - PUT item own"), std::string("QUERY"),
+          std::string("QUERY 1"), std::string("GARBAGE \x01\xff"),
+          std::string("STARTUP latest key-a"), std::string("QUERY 1 NONSENSE"),
+          std::string("QUERY 1 WAITLSN 1.1 FETCH item"),
+          std::string("QUERY 1 STATUS"), std::string("QUERY 1 STEPDOWN 9"),
+          std::string("QUERY 1 PUT item a\nb"), "QUERY 1 PUT item " + too_long})
+    {
+        const auto reply = caller.send_raw(line + "\r\n");
+        EXPECT_EQ(
+            reply.code,
+            line.size() > too_long.size() ? "TOOLARGE" : "MALFORMED")
+            << line.substr(0, 60);
+        EXPECT_EQ(reply.state, "T") << line.substr(0, 60);
+    }
+    EXPECT_EQ(caller.run("COMMIT").code, "");
+    EXPECT_EQ(foreign_ids(), std::vector<std::string>{});
+    const auto read = caller.run("FETCH item");
+    ASSERT_EQ(read.rows.size(), 1U);
+    EXPECT_EQ(read.rows.front(), "kept");
+    EXPECT_EQ(runs_of(caller.last_id()).front().values.at("colour"), "red");
+}
+
+// Guards against a client that fills the memory of a host with names, and
+// against one whose excess harms others.
+TEST_F(platform_statements, session_state_is_bounded)
+{
+    line_caller greedy(proxy_->address());
+    ASSERT_TRUE(greedy.start("latest", "key-a").ok());
+    std::size_t accepted = 0;
+    std::string refusal;
+    for (int index = 0; index < 100'000 && refusal.empty(); ++index)
+    {
+        refusal =
+            greedy.run(fmt::format("PREPARE s{} PUT shape {}", index, index))
+                .code;
+        accepted += refusal.empty() ? 1 : 0;
+    }
+    EXPECT_EQ(refusal, "TOOLARGE");
+    EXPECT_GT(accepted, 10'000U);
+    EXPECT_EQ(greedy.run("EXECUTE s0 item data").code, "");
+    prepared_session other(proxy_->address(), "PUT", "shape");
+    ASSERT_TRUE(other.start());
+    EXPECT_EQ(other.caller.run("EXECUTE s1 item data").code, "");
+}
+
+// Guards against a pooled connection whose statements only grow, and against a
+// wrong shape when names are used again.
+TEST_F(platform_statements, many_shapes_share_a_connection)
+{
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    for (int round = 0; round < 2; ++round)
+    {
+        for (int index = 0; index < 200; ++index)
+        {
+            const auto shape = fmt::format("q{} x", index);
+            ASSERT_TRUE(caller.run("PREPARE s PUT " + shape).ok());
+            ASSERT_EQ(caller.run("EXECUTE s item data").code, "");
+            ASSERT_EQ(runs_of(caller.last_id()).front().shape, shape);
+        }
+    }
+}
--- a/tests/support/hosted_member.cpp
+++ b/tests/support/hosted_member.cpp
@@ -361,6 +361,16 @@
         }
         word = take(rest);
     }
+    if (session.state_epoch != state_epoch_)
+    {
+        session.state_epoch = state_epoch_;
+        session.values.clear();
+        session.prepared.clear();
+    }
+    if (const auto code = take_refusal(word); !code.empty())
+    {
+        return refuse(session, code);
+    }
     if (word == "BEGIN")
     {
         return begin(session, rest == "FETCH");
@@ -426,6 +436,35 @@
     return control(word, rest.empty() ? 0 : std::stoull(rest)) + ready(session);
 }
 
+void hosted_member::refuse_statements(
+    const std::string& word, const std::string& code, unsigned passed,
+    unsigned count)
+{
+    const std::lock_guard lock(shared_->mutex);
+    refusals_[word] = {code, passed, count};
+}
+
+std::string hosted_member::take_refusal(const std::string& word)
+{
+    const auto found = refusals_.find(word);
+    if (found == refusals_.end())
+    {
+        return {};
+    }
+    auto& [code, passed, count] = found->second;
+    if (passed > 0)
+    {
+        --passed;
+        return {};
+    }
+    if (count == 0)
+    {
+        return {};
+    }
+    --count;
+    return code;
+}
+
 std::string hosted_member::prepare(connection& session, std::string fields)
 {
     const auto whole = fields;
--- a/tests/support/hosted_member.hpp
+++ b/tests/support/hosted_member.hpp
@@ -124,6 +124,19 @@
     {
         control_ignored_ = value;
     }
+    /// @brief Refuses statements that begin with a word, after letting some
+    /// pass.
+    /// @param passed statements with this word that still run
+    /// @param count statements that are refused then
+    void refuse_statements(
+        const std::string& word, const std::string& code, unsigned passed,
+        unsigned count);
+    /// @brief Drops the session values and prepared statements of all
+    /// connections, without a word to their clients.
+    void drop_session_state()
+    {
+        ++state_epoch_;
+    }
     /// @brief The member ends a message at a bare LF too, as lenient
     /// implementations of line protocols do.
     void end_lines_at_lf(bool value)
@@ -154,6 +167,14 @@
         std::optional<log_position> committed;
         std::uint64_t committed_term = 0;
         std::vector<std::string> committed_data;
+        /// Value of `state_epoch_` when the state was last valid.
+        unsigned state_epoch = 0;
+    };
+    struct refusal
+    {
+        std::string code;
+        unsigned passed = 0;
+        unsigned count = 0;
     };
 
     void serve(hosted_server::socket& peer);
@@ -163,6 +184,8 @@
     next_line(hosted_server::socket& peer, std::string& buffer) const;
     std::string greet(const std::string& line, connection& session);
     std::string answer(const std::string& line, connection& session);
+    /// Code of the refusal that the test asked for; empty if there is none.
+    std::string take_refusal(const std::string& word);
     std::string prepare(connection& session, std::string fields);
     std::string violation(connection& session, const std::string& line);
     std::string data(
@@ -189,6 +212,9 @@
     std::atomic<bool> silent_{false};
     std::atomic<bool> control_ignored_{false};
     std::atomic<bool> lenient_lines_{false};
+    std::atomic<unsigned> state_epoch_{0};
+    /// By word; guarded by the mutex of the log.
+    std::map<std::string, refusal> refusals_;
     std::atomic<std::int64_t> work_ms_{0};
     std::atomic<unsigned> open_{0};
     std::atomic<unsigned> opened_{0};
