Restore the session's values before a commit too

What callers saw: after BEGIN, COMMIT, or after BEGIN, a statement, SET and COMMIT, the commit ran with the values that the pooled connection had from another session, or without the last one (PINNED).

Cause: the commit was left out of the restore. Change: every statement is restored, and connection_lease::forward refuses one whose session state its connection does not hold, so no path can leave it out.

Result: platform_statements.commit_runs_with_the_values_of_its_session fails before (values of another session, or none) and passes.

--- a/include/zinniahub/session_values.hpp
+++ b/include/zinniahub/session_values.hpp
@@ -128,6 +128,15 @@
     /// @brief Name under which a statement is prepared; empty if it is not.
     std::string_view name_of(const prepared_statement& statement) const;
 
+    /// @brief Returns true if nothing has to be restored before a statement.
+    /// @param needed as for `plan`
+    bool
+    holds(const session_values& session, const prepared_statement* needed) const
+    {
+        return matches(session) &&
+               (needed == nullptr || prepared_.contains(*needed));
+    }
+
     /// @brief Returns true if the values equal those of the session.
     bool matches(const session_values& session) const
     {
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -346,9 +346,8 @@
     trace_.instance = lease->instance();
     trace_.on_replica = !gateway.is_primary(trace_.instance);
     trace_.connected = clock::now();
-    const auto* prepared = find_prepared(value);
-    const auto restored =
-        co_await lease->restore(values_, prepared, command_timeout);
+    const session_state session{values_, find_prepared(value)};
+    const auto restored = co_await lease->restore(session, command_timeout);
     if (!restored)
     {
         request.excluded.push_back(lease->instance());
@@ -362,8 +361,7 @@
         co_return std::nullopt;
     }
     const auto answer = co_await lease->forward(
-        value, prepared, with_own_commits(*required),
-        route_->statement_timeout);
+        value, session, with_own_commits(*required), route_->statement_timeout);
     if (!answer && answer.error().code == errc::statement_too_large)
     {
         // The primary runs it without a position.
@@ -410,9 +408,8 @@
     }
     trace_.instance = lease->instance();
     trace_.connected = clock::now();
-    const auto* prepared = find_prepared(value);
-    const auto restored =
-        co_await lease->restore(values_, prepared, command_timeout);
+    const session_state session{values_, find_prepared(value)};
+    const auto restored = co_await lease->restore(session, command_timeout);
     if (!restored)
     {
         co_return refuse_rejected(restored.error());
@@ -442,7 +439,7 @@
     }
     const auto sent_at = clock::now();
     const auto answer = co_await lease->forward(
-        value, prepared, std::nullopt, route_->statement_timeout);
+        value, session, std::nullopt, route_->statement_timeout);
     if (!answer)
     {
         lease->close();
@@ -598,19 +595,16 @@
         co_return on_transaction_failure(error{errc::draining, {}}, false);
     }
     const bool is_commit = value.kind == statement_kind::commit;
-    const auto* prepared = is_commit ? nullptr : find_prepared(value);
-    if (!is_commit)
+    const session_state session{values_, find_prepared(value)};
+    const auto restored =
+        co_await connection_.restore(session, command_timeout);
+    if (!restored)
     {
-        const auto restored =
-            co_await connection_.restore(values_, prepared, command_timeout);
-        if (!restored)
-        {
-            co_return on_transaction_failure(restored.error(), false);
-        }
+        co_return on_transaction_failure(restored.error(), false);
     }
     const auto sent_at = clock::now();
     const auto answer = co_await connection_.forward(
-        value, prepared, std::nullopt, route_->statement_timeout);
+        value, session, std::nullopt, route_->statement_timeout);
     if (!answer)
     {
         co_return on_transaction_failure(answer.error(), is_commit);
--- a/src/pooling/connection_lease.cpp
+++ b/src/pooling/connection_lease.cpp
@@ -110,12 +110,18 @@
 }
 
 awaitable<result<reply>> connection_lease::forward(
-    const statement& value, const prepared_statement* prepared,
+    const statement& value, session_state session,
     std::optional<log_position> wait_for, duration timeout)
 {
-    const auto name = prepared == nullptr
+    const auto& held = connection_->values;
+    if (!held.holds(session.values, session.prepared))
+    {
+        co_return fail(
+            errc::request_invalid, "the session state was not restored");
+    }
+    const auto name = session.prepared == nullptr
                           ? std::string_view{}
-                          : connection_->values.name_of(*prepared);
+                          : held.name_of(*session.prepared);
     const auto sent_at = clock::now();
     gateway_->pools_.of(instance_).on_call_sent(sent_at);
     auto answer =
@@ -190,11 +196,11 @@
     co_return done;
 }
 
-awaitable<result<void>> connection_lease::restore(
-    const session_values& session, const prepared_statement* needed,
-    duration timeout)
+awaitable<result<void>>
+connection_lease::restore(session_state session, duration timeout)
 {
-    const auto steps = connection_->values.plan(session, needed);
+    const auto steps =
+        connection_->values.plan(session.values, session.prepared);
     if (steps.discard)
     {
         const auto done = co_await run_restore_step(
--- a/src/pooling/connection_lease.hpp
+++ b/src/pooling/connection_lease.hpp
@@ -25,6 +25,14 @@
     std::uint64_t failed = 0;
 };
 
+/// @brief State of a session that a statement needs on its connection.
+struct session_state
+{
+    const session_values& values;
+    /// Prepared statement that is executed, or null.
+    const prepared_statement* prepared = nullptr;
+};
+
 /// @brief A connection taken from a pool. Returns it when destroyed.
 class connection_lease
 {
@@ -52,14 +60,13 @@
     /// @return `errc::statement_rejected` if the member will always refuse one
     /// of them, `errc::connection_lost` after other failures; the connection is
     /// then closed
-    awaitable<result<void>> restore(
-        const session_values& session, const prepared_statement* needed,
-        duration timeout);
-    /// @brief Forwards a client's statement.
-    /// @param prepared statement that it executes, restored before, or null
-    /// @return as `member_connection::forward`
+    awaitable<result<void>> restore(session_state session, duration timeout);
+    /// @brief Forwards a client's statement, COMMIT included. The state of its
+    /// session must have been restored.
+    /// @return as `member_connection::forward`; `errc::request_invalid` if the
+    /// connection does not hold the state
     awaitable<result<reply>> forward(
-        const statement& value, const prepared_statement* prepared,
+        const statement& value, session_state session,
         std::optional<log_position> wait_for, duration timeout);
     awaitable<result<reply>> run(const command& value, duration timeout);
 
--- a/tests/integration/integration-platform_statements.cpp
+++ b/tests/integration/integration-platform_statements.cpp
@@ -408,3 +408,34 @@
         }
     }
 }
+
+// Guards against a commit that runs with the values of another session that
+// used the connection before.
+TEST_F(platform_statements, commit_runs_with_the_values_of_its_session)
+{
+    const std::map<std::string, std::string> expected{{"colour", "red"}};
+    for (int round = 0; round < 5; ++round)
+    {
+        line_caller other(proxy_->address());
+        ASSERT_TRUE(other.start("latest", "key-a").ok());
+        ASSERT_TRUE(other.run("SET colour blue").ok());
+        ASSERT_TRUE(other.run("SET size big").ok());
+        ASSERT_TRUE(other.run("PUT item other").ok());
+
+        line_caller empty(proxy_->address());
+        ASSERT_TRUE(empty.start("latest", "key-a").ok());
+        ASSERT_TRUE(empty.run("SET colour red").ok());
+        ASSERT_EQ(empty.run("BEGIN").state, "T");
+        ASSERT_EQ(empty.run("COMMIT").code, "");
+        ASSERT_EQ(runs_of(empty.last_id()).size(), 1U);
+        EXPECT_EQ(runs_of(empty.last_id()).front().values, expected);
+
+        line_caller late(proxy_->address());
+        ASSERT_TRUE(late.start("latest", "key-a").ok());
+        ASSERT_EQ(late.run("BEGIN").state, "T");
+        ASSERT_TRUE(late.run("PUT item late").ok());
+        ASSERT_TRUE(late.run("SET colour red").ok());
+        ASSERT_EQ(late.run("COMMIT").code, "");
+        EXPECT_EQ(runs_of(late.last_id()).front().values, expected);
+    }
+}
