End an open transaction when its key is withdrawn

What callers saw: statements and the commit of a transaction that was open when its key was withdrawn went on running, for as long as it stayed open.

Cause: keys were checked at the start of an operation only. Change: each statement of a transaction needs its key in force, for the same customer. Otherwise it is not sent; the transaction is rolled back at the member, which frees what it holds, the connection returns to the pool, and the client gets NOAUTH.

--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -585,6 +585,10 @@
             co_return std::move(*refusal);
         }
     }
+    if (manager_.customer_for_key(*route_, key_) != customer_)
+    {
+        co_return end_unauthorized_transaction();
+    }
     auto& gateway = manager_.gateway(route_->service);
     trace_.instance = connection_.instance();
     if (!gateway.may_use_open_connection(
@@ -639,6 +643,16 @@
     co_return *answer;
 }
 
+reply client_session::end_unauthorized_transaction()
+{
+    trace_.failure_code = errc::key_invalid;
+    roll_back_transaction();
+    state_ = transaction_state::failed;
+    return refuse(
+        reply_code::unauthorized,
+        "the key was withdrawn, the transaction is rolled back");
+}
+
 reply client_session::on_transaction_failure(
     const error& failure, bool was_commit)
 {
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -67,6 +67,8 @@
     awaitable<std::optional<reply>> open_transaction(const statement& value);
     awaitable<std::optional<reply>>
     begin_on_member(access_request& request, bool on_primary);
+    /// Rolls back a transaction whose key is no longer in force.
+    reply end_unauthorized_transaction();
     reply on_transaction_failure(const error& failure, bool was_commit);
     void roll_back_transaction();
 
--- a/tests/integration/integration-platform_statements.cpp
+++ b/tests/integration/integration-platform_statements.cpp
@@ -439,3 +439,50 @@
         EXPECT_EQ(runs_of(late.last_id()).front().values, expected);
     }
 }
+
+// Guards against statements and commits of an open transaction that run after
+// the key of its client was withdrawn, and against a connection that stays
+// inside that transaction.
+TEST_F(platform_statements, withdrawn_key_ends_open_transactions)
+{
+    line_caller writer(proxy_->address());
+    line_caller committer(proxy_->address());
+    line_caller prepared(proxy_->address());
+    for (auto* caller : {&writer, &committer, &prepared})
+    {
+        ASSERT_TRUE(caller->start("latest", "key-a").ok());
+        ASSERT_TRUE(caller->run("PREPARE s PUT shape").ok());
+        ASSERT_EQ(caller->run("BEGIN").state, "T");
+        ASSERT_TRUE(caller->run("PUT item withdrawn").ok());
+    }
+    platform_.configure(2, {{"bea", "key-b"}}, 20000);
+    for (int attempt = 0; attempt < 100; ++attempt)
+    {
+        line_caller probe(proxy_->address());
+        if (probe.start("latest", "key-a").code == "NOAUTH")
+        {
+            break;
+        }
+        std::this_thread::sleep_for(20ms);
+    }
+    const auto expect_refused = [this](line_caller& caller, const char* text)
+    {
+        const auto reply = caller.run(text);
+        EXPECT_EQ(reply.code, "NOAUTH") << text;
+        EXPECT_TRUE(runs_of(caller.last_id()).empty()) << text;
+    };
+    expect_refused(writer, "PUT item more");
+    expect_refused(prepared, "EXECUTE s item more");
+    expect_refused(committer, "COMMIT");
+    EXPECT_EQ(writer.run("ROLLBACK").state, "I");
+    expect_refused(writer, "FETCH item");
+
+    line_caller other(proxy_->address());
+    ASSERT_TRUE(other.start("latest", "key-b").ok());
+    for (int attempt = 0; attempt < 100 && !other.run("FETCH item").ok();
+         ++attempt)
+    {
+        std::this_thread::sleep_for(50ms);
+    }
+    EXPECT_EQ(other.run("FETCH item").rows, std::vector<std::string>{});
+}
