Take a member's entry only with all fields that members write

An entry without version or warmup_remaining_ms, or with these or born of another type, named a member. It comes from another writer, never answers, and joined the durable group, where it could hold up promotions.

--- a/tests/unit/unit-platform_records.cpp
+++ b/tests/unit/unit-platform_records.cpp
@@ -89,7 +89,7 @@
     EXPECT_EQ(decoded->started_ms, 1700000000000U);
     for (const auto* field :
          {"service", "address", "zone", "phase", "db_role", "capacity",
-          "sequence"})
+          "sequence", "version", "warmup_remaining_ms"})
     {
         auto missing = member_record();
         missing.erase(field);
@@ -98,6 +98,14 @@
         other_type[field] = json::array();
         EXPECT_FALSE(decode_member("i-1", other_type.dump())) << field;
     }
+    auto without_start = member_record();
+    without_start.erase("born");
+    EXPECT_TRUE(decode_member("i-1", without_start.dump()));
+    for (const auto& born : {json(-1), json(1.5), json("1"), json(nullptr)})
+    {
+        without_start["born"] = born;
+        EXPECT_FALSE(decode_member("i-1", without_start.dump())) << born;
+    }
     auto unknown_phase = member_record();
     unknown_phase["phase"] = "resting";
     EXPECT_FALSE(decode_member("i-1", unknown_phase.dump()));
