Log and count messages that are refused before they are statements

They left no line and no count, so a client's MALFORMED or TOOLARGE could not be found again. platform_statements.bad_input_leaves_the_session_as_it_was asks for the lines.

--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -91,12 +91,7 @@
         }
         if (code == errc::statement_too_large || code == errc::request_invalid)
         {
-            auto refusal = refuse(
-                code == errc::statement_too_large ? reply_code::too_large
-                                                  : reply_code::malformed,
-                next.error().detail);
-            refusal.state = state_;
-            co_return co_await stream_->send(refusal);
+            co_return co_await refuse_message(next.error());
         }
         co_return false;
     }
@@ -110,6 +105,18 @@
     co_return sent;
 }
 
+awaitable<bool> client_session::refuse_message(const error& why)
+{
+    trace_ = {.started = clock::now(), .failure_code = why.code};
+    auto refusal = refuse(
+        why.code == errc::statement_too_large ? reply_code::too_large
+                                              : reply_code::malformed,
+        why.detail);
+    refusal.state = state_;
+    record_reply({}, refusal);
+    co_return co_await stream_->send(refusal);
+}
+
 awaitable<reply> client_session::handle(const statement& value)
 {
     if (state_ == transaction_state::failed &&
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -43,6 +43,9 @@
 
 private:
     awaitable<bool> serve_next();
+    /// Answers a message that is not a statement; the session goes on.
+    /// @return false if the client has disconnected
+    awaitable<bool> refuse_message(const error& why);
     awaitable<reply> handle(const statement& value);
     /// Reply to a change of the session's values.
     reply acknowledge(const result<void>& change);
--- a/tests/integration/integration-platform_statements.cpp
+++ b/tests/integration/integration-platform_statements.cpp
@@ -366,6 +366,9 @@
     ASSERT_EQ(read.rows.size(), 1U);
     EXPECT_EQ(read.rows.front(), "kept");
     EXPECT_EQ(runs_of(caller.last_id()).front().values.at("colour"), "red");
+    const auto log = proxy_->log();
+    EXPECT_NE(log.find(R"("why":"request_invalid")"), std::string::npos);
+    EXPECT_NE(log.find(R"("why":"statement_too_large")"), std::string::npos);
 }
 
 // Guards against a client that fills the memory of a host with names, and
