Let an order wait for a primary that refuses other hosts

The holder of the duty and the replicas are cut off from the primary; all its connections hang in commits, so it refuses the hosts that are to make it step down. The order went out, and a replica that restarted let it acknowledge them.

Cause: only an answer of the primary counted as a sign that it runs. A refusal for too many connections is one too.

--- a/src/pooling/primary_sampling.cpp
+++ b/src/pooling/primary_sampling.cpp
@@ -313,21 +313,28 @@
         *this, std::move(instance), std::move(connection), duration{});
 }
 
-awaitable<std::optional<replication_status>>
+awaitable<result<replication_status>>
 service_gateway::control_member(std::string instance, command value)
 {
-    auto lease = co_await acquire_for_command(std::move(instance));
+    auto lease = co_await acquire_for_command(instance);
     if (!lease)
     {
-        co_return std::nullopt;
+        const bool is_full = pools_.of(instance).is_full(clock::now());
+        co_return fail(
+            is_full ? errc::connection_limit_reached
+                    : errc::member_unreachable);
     }
     const auto answer = co_await lease.run(value, command_timeout);
     if (!answer)
     {
         lease.close();
-        co_return std::nullopt;
+        co_return fail(errc::member_unreachable);
     }
-    co_return answer->status_row;
+    if (!answer->status_row)
+    {
+        co_return fail(errc::reply_mismatch);
+    }
+    co_return *answer->status_row;
 }
 
 std::vector<std::string> service_gateway::replicas_for_proof(
