--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -226,11 +226,6 @@
         std::string_view instance, const replication_status& status,
         time_point asked_at);
 
-    /// @brief Records that a member runs, but refused another host because all
-    /// its connections are in use.
-    /// @param asked_at time at which that host was asked
-    void on_relayed_refusal(std::string_view instance, time_point asked_at);
-
     /// @brief Records that a status query or a request to pause or resume
     /// replication got no reply.
     /// @param refused the member's address refused the connection
@@ -444,9 +439,6 @@
     std::string relayed_instance_;
     replication_status relayed_status_;
     time_point relayed_at_ = time_point::min();
-    /// Member that last refused another host, and when.
-    std::string refusing_instance_;
-    time_point refused_at_ = time_point::min();
     /// True if an order of this failover got no reply.
     bool order_unknown_ = false;
     /// Member of the last order, and the time until which that order may take
--- a/src/coordination/member_relay.cpp
+++ b/src/coordination/member_relay.cpp
@@ -21,8 +21,6 @@
 constexpr std::string_view step_down_word = "step_down";
 constexpr std::string_view primary_word = "primary";
 constexpr std::string_view replica_word = "replica";
-/// In place of a status: the member refused the connection.
-constexpr std::string_view refused_word = "refused";
 
 /// Number of hosts that each call asks.
 constexpr std::size_t hosts_per_call = 3;
@@ -147,12 +145,6 @@
     }
     if (!status)
     {
-        if (status.error().code == errc::connection_limit_reached)
-        {
-            network_.send(
-                from,
-                fmt::format("{} {} {}", reply_word, number, refused_word));
-        }
         co_return;
     }
     network_.send(
@@ -167,11 +159,11 @@
 {
     const auto found = pending_.find(consume_number(text).value_or(0));
     const auto status = decode_status(text);
-    if (found == pending_.end() || (!status && text != refused_word))
+    if (found == pending_.end() || !status)
     {
         return;
     }
-    handler_(found->second.value, status, found->second.asked_at);
+    handler_(found->second.value, *status, found->second.asked_at);
 }
 
 } // namespace zinniahub::coordination
--- a/src/coordination/member_relay.hpp
+++ b/src/coordination/member_relay.hpp
@@ -9,7 +9,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -32,12 +31,10 @@
 class member_relay
 {
 public:
-    /// @param status none if the member runs, but refused the other host
-    /// because all its connections are in use
     /// @param asked_at time at which the other host was asked
     using status_handler = std::function<void(
-        const relayed_command& command,
-        const std::optional<replication_status>& status, time_point asked_at)>;
+        const relayed_command& command, const replication_status& status,
+        time_point asked_at)>;
 
     virtual ~member_relay() = default;
     /// @brief Asks other hosts to run a command. Nothing is returned if none of
@@ -86,8 +83,7 @@
     gateway_lookup find_gateway_;
     log::event_log& events_;
     status_handler handler_ = [](const relayed_command&,
-                                 const std::optional<replication_status>&,
-                                 time_point) {};
+                                 const replication_status&, time_point) {};
     /// Commands without an answer, by number.
     std::map<std::uint64_t, pending_command> pending_;
     std::uint64_t next_number_ = 0;
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -83,11 +83,11 @@
     , settings_(std::move(values))
     , events_(events)
 {
-    relay_.set_handler([this](
-                           const relayed_command& value,
-                           const std::optional<replication_status>& status,
-                           time_point asked_at)
-                       { on_relayed_answer(value, status, asked_at); });
+    relay_.set_handler(
+        [this](
+            const relayed_command& value, const replication_status& status,
+            time_point asked_at)
+        { on_relayed_status(value, status, asked_at); });
 }
 
 promotion_coordinator::~promotion_coordinator() = default;
@@ -416,9 +416,9 @@
     asio::co_spawn(io_, run_on_member(name, instance, command), asio::detached);
 }
 
-void promotion_coordinator::on_relayed_answer(
-    const relayed_command& value,
-    const std::optional<replication_status>& status, time_point asked_at)
+void promotion_coordinator::on_relayed_status(
+    const relayed_command& value, const replication_status& status,
+    time_point asked_at)
 {
     const auto found = services_.find(value.service);
     if (found == services_.end() || !is_leader(clock::now()))
@@ -431,16 +431,9 @@
             "step_down_answered", {{"service", value.service},
                                    {"instance", value.instance},
                                    {"term", value.term},
-                                   {"refused", !status},
-                                   {"primary", !status || status->primary}});
+                                   {"primary", status.primary}});
     }
-    auto& planner = found->second.planner;
-    if (!status)
-    {
-        planner.on_relayed_refusal(value.instance, asked_at);
-        return;
-    }
-    planner.on_relayed_status(value.instance, *status, asked_at);
+    found->second.planner.on_relayed_status(value.instance, status, asked_at);
 }
 
 awaitable<void> promotion_coordinator::run_on_member(
--- a/src/coordination/promotion_coordinator.hpp
+++ b/src/coordination/promotion_coordinator.hpp
@@ -149,9 +149,9 @@
     void execute_step(
         const std::string& name, service_state& service,
         const failover_step& step);
-    void on_relayed_answer(
-        const relayed_command& value,
-        const std::optional<replication_status>& status, time_point asked_at);
+    void on_relayed_status(
+        const relayed_command& value, const replication_status& status,
+        time_point asked_at);
     /// State of a service; created if there is none.
     service_state& state_of(const std::string& service);
     static member_control&
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -159,16 +159,6 @@
     }
 }
 
-void failover_planner::on_relayed_refusal(
-    std::string_view instance, time_point asked_at)
-{
-    if (instance == primary_)
-    {
-        refusing_instance_ = instance;
-        refused_at_ = asked_at;
-    }
-}
-
 bool failover_planner::primary_has_stepped_down(time_point now) const
 {
     const auto found = members_.find(primary_);
@@ -183,14 +173,10 @@
 
 bool failover_planner::primary_leads_elsewhere(time_point now) const
 {
-    const bool answers = relayed_instance_ == primary_ &&
-                         relayed_status_.primary &&
-                         now - relayed_at_ <= settings_.status_validity;
-    // Its connections may be in use by commits that wait for a replica.
-    const bool refuses = refusing_instance_ == primary_ &&
-                         now - refused_at_ <= settings_.status_validity;
-    return !primary_.empty() && current_primary(now) == nullptr &&
-           !primary_has_stepped_down(now) && (answers || refuses);
+    return current_primary(now) == nullptr && !primary_has_stepped_down(now) &&
+           !primary_.empty() && relayed_instance_ == primary_ &&
+           relayed_status_.primary &&
+           now - relayed_at_ <= settings_.status_validity;
 }
 
 bool failover_planner::is_fresh(
--- a/src/pooling/member_pool.cpp
+++ b/src/pooling/member_pool.cpp
@@ -17,9 +17,6 @@
 constexpr duration initial_connect_backoff = std::chrono::milliseconds(20);
 constexpr duration max_connect_backoff = std::chrono::milliseconds(160);
 
-/// Time for which a refused connection shows that the member runs and is full.
-constexpr duration refusal_validity = std::chrono::milliseconds(300);
-
 /// Idle time after which a connection beyond those kept is closed.
 constexpr duration surplus_idle_limit = std::chrono::milliseconds(200);
 
@@ -149,7 +146,6 @@
         connect_backoff_ = std::clamp<duration>(
             2 * connect_backoff_, initial_connect_backoff, max_connect_backoff);
         connect_backoff_until_ = now + connect_backoff_;
-        full_until_ = now + refusal_validity;
         return;
     }
     mark_suspect(now);
--- a/src/pooling/member_pool.hpp
+++ b/src/pooling/member_pool.hpp
@@ -163,13 +163,6 @@
         return now < not_primary_until_;
     }
 
-    /// @brief True after the member refused a connection because it has too
-    /// many.
-    bool is_full(time_point now) const
-    {
-        return now < full_until_;
-    }
-
     /// @brief A replica knows a later term than this member leads in.
     void deny_primary(time_point now);
 
@@ -199,8 +192,6 @@
     /// too many.
     time_point connect_backoff_until_ = time_point::min();
     duration connect_backoff_{};
-    /// Until when the last refusal for too many connections counts.
-    time_point full_until_ = time_point::min();
     time_point suspect_until_ = time_point::min();
     duration suspect_duration_{};
     log_position position_;
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -132,10 +132,8 @@
 
     /// @brief Runs a command of the holder of the promotion duty on a member
     /// that the holder cannot reach.
-    /// @return status of the member; `errc::connection_limit_reached` if it
-    /// refused a connection because all are in use, `errc::member_unreachable`
-    /// if it did not answer
-    awaitable<result<replication_status>>
+    /// @return status of the member; none if it did not answer
+    awaitable<std::optional<replication_status>>
     control_member(std::string instance, command value);
 
     /// @brief Another host asks for a position; the primary is sampled while
