--- a/tests/integration/integration-platform_statements.cpp
+++ b/tests/integration/integration-platform_statements.cpp
@@ -3,8 +3,10 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -439,3 +441,96 @@
         EXPECT_EQ(runs_of(late.last_id()).front().values, expected);
     }
 }
+
+// Guards against a connection that counts as holding what its member has
+// dropped: the read runs inside a transaction of the proxy, whose rollback
+// returns the connection.
+TEST_F(platform_statements, dropped_session_state_is_restored_for_a_read)
+{
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    ASSERT_TRUE(caller.run("SET colour red").ok());
+    ASSERT_TRUE(caller.run("PREPARE s FETCH shape").ok());
+    ASSERT_TRUE(caller.run("EXECUTE s item").ok());
+    for (std::size_t index = 0; index < platform_.size(); ++index)
+    {
+        platform_.member(index).drop_session_state();
+    }
+    EXPECT_EQ(caller.run("EXECUTE s item").code, "");
+    EXPECT_EQ(caller.run("FETCH item").code, "");
+    const auto runs = runs_of(caller.last_id());
+    ASSERT_EQ(runs.size(), 1U);
+    EXPECT_EQ(
+        runs.front().values,
+        (std::map<std::string, std::string>{{"colour", "red"}}));
+}
+
+// Guards against an acknowledged value that no member can be given: the command
+// of the proxy is longer than the client's.
+TEST_F(platform_statements, value_without_text_at_the_limit_is_served)
+{
+    constexpr std::size_t limit = zinniahub::test::max_hosted_line;
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    const std::string start = "QUERY 1 SET ";
+    const auto line = start + std::string(limit - start.size(), 'x');
+    EXPECT_EQ(caller.send_raw(line + "\r\n").code, "");
+    EXPECT_EQ(caller.run("PUT item data").code, "");
+}
+
+// Guards against a client that fills the log of a host with its ids, and hides
+// the lines of others.
+TEST_F(platform_statements, long_ids_are_cut_in_the_log)
+{
+    constexpr std::size_t longest_line = 4096;
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    const std::string id(std::size_t{512} << 10, '\x01');
+    EXPECT_EQ(
+        caller.send_raw("QUERY " + id + " NONSENSE\r\n").code, "MALFORMED");
+    std::this_thread::sleep_for(200ms);
+    std::size_t longest = 0;
+    std::istringstream lines(proxy_->log());
+    for (std::string line; std::getline(lines, line);)
+    {
+        longest = std::max(longest, line.size());
+    }
+    EXPECT_LE(longest, longest_line);
+}
+
+// Guards against a session whose many values keep a connection and the thread
+// of the host busy for far longer than a statement may take.
+TEST_F(platform_statements, many_values_do_not_hold_up_a_statement)
+{
+    line_caller greedy(proxy_->address());
+    ASSERT_TRUE(greedy.start("latest", "key-a").ok());
+    std::size_t accepted = 0;
+    while (greedy.run(fmt::format("SET v{} x", accepted)).ok())
+    {
+        ++accepted;
+    }
+    const auto timed = [](line_caller& caller)
+    {
+        const auto started = std::chrono::steady_clock::now();
+        EXPECT_EQ(caller.run("FETCH item").code, "");
+        return std::chrono::duration<double>(
+                   std::chrono::steady_clock::now() - started)
+            .count();
+    };
+    line_caller plain(proxy_->address());
+    ASSERT_TRUE(plain.start("latest", "key-a").ok());
+    line_caller other(proxy_->address());
+    ASSERT_TRUE(other.start("latest", "key-b").ok());
+    const auto before = timed(other);
+    const auto first = timed(greedy);
+    double again = 0;
+    for (int index = 0; index < 50; ++index)
+    {
+        again += timed(greedy) / 50;
+    }
+    GTEST_LOG_(INFO) << accepted << " values; other customer " << before
+                     << " s; first statement " << first
+                     << " s, with nothing to restore " << again << " s";
+    EXPECT_LT(first, 0.5);
+    EXPECT_LT(again, 0.005);
+}
