--- a/tests/integration/integration-platform_statements.cpp
+++ b/tests/integration/integration-platform_statements.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <fstream>
 #include <map>
+#include <memory>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -534,3 +536,55 @@
     EXPECT_LT(first, 0.5);
     EXPECT_LT(again, 0.005);
 }
+
+// Guards against a host that the messages and the session state of its clients
+// fill: the hosts of the users end a process beyond 260 MB.
+TEST_F(platform_statements, memory_is_bounded_over_all_sessions)
+{
+    constexpr std::size_t max_resident_kib = 260'000;
+    const auto resident_kib = [this]
+    {
+        std::ifstream status(
+            fmt::format("/proc/{}/status", proxy_->child().pid()));
+        for (std::string line; std::getline(status, line);)
+        {
+            if (line.starts_with("VmRSS:"))
+            {
+                return std::stoul(line.substr(line.find_first_of("123456789")));
+            }
+        }
+        return 0UL;
+    };
+    std::vector<std::unique_ptr<line_caller>> sessions;
+    const auto start = [&]() -> line_caller&
+    {
+        sessions.push_back(std::make_unique<line_caller>(proxy_->address()));
+        EXPECT_TRUE(sessions.back()->start("latest", "key-a").ok());
+        return *sessions.back();
+    };
+    const auto at_start = resident_kib();
+    const std::string large(1'000'000, 'x');
+    for (int index = 0; index < 100; ++index)
+    {
+        // Refused by the proxy, so that nothing is kept of it.
+        EXPECT_EQ(start().run("NONSENSE " + large).code, "MALFORMED");
+    }
+    const auto after_messages = resident_kib();
+    sessions.clear();
+    std::this_thread::sleep_for(200ms);
+    const auto after_close = resident_kib();
+    for (int index = 0; index < 60; ++index)
+    {
+        auto& caller = start();
+        for (int value = 0; value < 4; ++value)
+        {
+            (void)caller.run(fmt::format("SET v{} {}", value, large));
+        }
+    }
+    const auto after_values = resident_kib();
+    GTEST_LOG_(INFO) << "KiB at start " << at_start << ", 100 idle sessions "
+                     << after_messages << ", closed " << after_close
+                     << ", 60 sessions with values " << after_values;
+    EXPECT_LT(after_messages, max_resident_kib);
+    EXPECT_LT(after_values, max_resident_kib);
+}
