--- a/tests/integration/integration-platform_statements.cpp
+++ b/tests/integration/integration-platform_statements.cpp
@@ -88,6 +88,21 @@
         return found;
     }
 
+    /// Resident memory of the proxy.
+    std::size_t resident_kib()
+    {
+        std::ifstream status(
+            fmt::format("/proc/{}/status", proxy_->child().pid()));
+        for (std::string line; std::getline(status, line);)
+        {
+            if (line.starts_with("VmRSS:"))
+            {
+                return std::stoul(line.substr(line.find_first_of("123456789")));
+            }
+        }
+        return 0;
+    }
+
     hosted_platform platform_;
     std::unique_ptr<hosted_proxy> proxy_;
 };
@@ -542,19 +557,6 @@
 TEST_F(platform_statements, memory_is_bounded_over_all_sessions)
 {
     constexpr std::size_t max_resident_kib = 260'000;
-    const auto resident_kib = [this]
-    {
-        std::ifstream status(
-            fmt::format("/proc/{}/status", proxy_->child().pid()));
-        for (std::string line; std::getline(status, line);)
-        {
-            if (line.starts_with("VmRSS:"))
-            {
-                return std::stoul(line.substr(line.find_first_of("123456789")));
-            }
-        }
-        return 0UL;
-    };
     std::vector<std::unique_ptr<line_caller>> sessions;
     const auto start = [&]() -> line_caller&
     {
@@ -588,3 +590,29 @@
     EXPECT_LT(after_messages, max_resident_kib);
     EXPECT_LT(after_values, max_resident_kib);
 }
+
+// Guards against bad input that ends a connection without a word.
+TEST_F(platform_statements, startup_that_is_too_long_is_refused)
+{
+    line_caller caller(proxy_->address(), 3s);
+    const std::string large(zinniahub::test::max_hosted_line + 5000, 'x');
+    EXPECT_EQ(
+        caller.send_raw("STARTUP latest " + large + "\r\n").code, "TOOLARGE");
+}
+
+// Guards against callers without a key that fill the memory of a host: the
+// hosts of the users end a process beyond 260 MB.
+TEST_F(platform_statements, unknown_callers_take_little_memory)
+{
+    constexpr std::size_t max_resident_kib = 100'000;
+    const std::string part =
+        "STARTUP latest " + std::string(1'000'000, 'x');
+    std::vector<std::unique_ptr<line_caller>> callers;
+    for (int index = 0; index < 150; ++index)
+    {
+        callers.push_back(std::make_unique<line_caller>(proxy_->address(), 3s));
+        callers.back()->send_only(part);
+    }
+    std::this_thread::sleep_for(300ms);
+    EXPECT_LT(resident_kib(), max_resident_kib);
+}
