--- a/tests/integration/integration-platform_statements.cpp
+++ b/tests/integration/integration-platform_statements.cpp
@@ -473,13 +473,23 @@
     {
         platform_.member(index).drop_session_state();
     }
-    EXPECT_EQ(caller.run("EXECUTE s item").code, "");
-    EXPECT_EQ(caller.run("FETCH item").code, "");
-    const auto runs = runs_of(caller.last_id());
-    ASSERT_EQ(runs.size(), 1U);
-    EXPECT_EQ(
-        runs.front().values,
-        (std::map<std::string, std::string>{{"colour", "red"}}));
+    EXPECT_TRUE(caller.run("EXECUTE s item").ok());
+    std::this_thread::sleep_for(100ms);
+    // Open transactions, so that each connection of the pool is used.
+    const std::map<std::string, std::string> expected{{"colour", "red"}};
+    std::vector<std::unique_ptr<line_caller>> callers;
+    for (int index = 0; index < 3; ++index)
+    {
+        auto& next = *callers.emplace_back(
+            std::make_unique<line_caller>(proxy_->address()));
+        ASSERT_TRUE(next.start("latest", "key-a").ok());
+        ASSERT_TRUE(next.run("SET colour red").ok());
+        ASSERT_EQ(next.run("BEGIN").state, "T");
+        EXPECT_TRUE(next.run("FETCH item").ok());
+        const auto runs = runs_of(next.last_id());
+        ASSERT_EQ(runs.size(), 1U);
+        EXPECT_EQ(runs.front().values, expected);
+    }
 }
 
 // Guards against an acknowledged value that no member can be given: the command
@@ -491,8 +501,10 @@
     ASSERT_TRUE(caller.start("latest", "key-a").ok());
     const std::string start = "QUERY 1 SET ";
     const auto line = start + std::string(limit - start.size(), 'x');
-    EXPECT_EQ(caller.send_raw(line + "\r\n").code, "");
+    ASSERT_TRUE(caller.send_raw(line + "\r\n").ok());
+    const auto opened = platform_.member(platform_.primary()).opened();
     EXPECT_EQ(caller.run("PUT item data").code, "");
+    EXPECT_LE(platform_.member(platform_.primary()).opened() - opened, 1U);
 }
 
 // Guards against a client that fills the log of a host with its ids, and hides
@@ -616,3 +628,23 @@
     std::this_thread::sleep_for(300ms);
     EXPECT_LT(resident_kib(), max_resident_kib);
 }
+
+// Guards against a client that makes a host close and open connections to a
+// member with each statement, which takes slots from other clients.
+TEST_F(platform_statements, rejected_shapes_close_no_connections)
+{
+    constexpr unsigned statements = 20;
+    for (std::size_t index = 0; index < platform_.size(); ++index)
+    {
+        platform_.member(index).refuse_statements(
+            "PREPARE", "MALFORMED", 0, statements);
+    }
+    prepared_session rejected(proxy_->address(), "PUT", "shape");
+    ASSERT_TRUE(rejected.start());
+    const auto opened = platform_.member(platform_.primary()).opened();
+    for (unsigned count = 0; count < statements; ++count)
+    {
+        EXPECT_EQ(rejected.caller.run("EXECUTE s1 item data").code, "MALFORMED");
+    }
+    EXPECT_LE(platform_.member(platform_.primary()).opened() - opened, 2U);
+}
