--- a/tests/integration/integration-platform_statements.cpp
+++ b/tests/integration/integration-platform_statements.cpp
@@ -3,8 +3,12 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
+#include <fstream>
 #include <map>
+#include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -84,6 +88,31 @@
         return found;
     }
 
+    /// Resident memory of the proxy.
+    std::size_t resident_kib()
+    {
+        std::ifstream status(
+            fmt::format("/proc/{}/status", proxy_->child().pid()));
+        for (std::string line; std::getline(status, line);)
+        {
+            if (line.starts_with("VmRSS:"))
+            {
+                return std::stoul(line.substr(line.find_first_of("123456789")));
+            }
+        }
+        return 0;
+    }
+
+    /// Processor time of the proxy in seconds.
+    double processor_s()
+    {
+        std::ifstream status(
+            fmt::format("/proc/{}/schedstat", proxy_->child().pid()));
+        double nanoseconds = 0;
+        status >> nanoseconds;
+        return nanoseconds / 1e9;
+    }
+
     hosted_platform platform_;
     std::unique_ptr<hosted_proxy> proxy_;
 };
@@ -488,4 +517,214 @@
         std::this_thread::sleep_for(50ms);
     }
     EXPECT_EQ(other.run("FETCH item").rows, std::vector<std::string>{});
+
+// Guards against a connection that counts as holding what its member has
+// dropped: the read runs inside a transaction of the proxy, whose rollback
+// returns the connection.
+TEST_F(platform_statements, dropped_session_state_is_restored_for_a_read)
+{
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    ASSERT_TRUE(caller.run("SET colour red").ok());
+    ASSERT_TRUE(caller.run("PREPARE s FETCH shape").ok());
+    ASSERT_TRUE(caller.run("EXECUTE s item").ok());
+    for (std::size_t index = 0; index < platform_.size(); ++index)
+    {
+        platform_.member(index).drop_session_state();
+    }
+    EXPECT_TRUE(caller.run("EXECUTE s item").ok());
+    std::this_thread::sleep_for(100ms);
+    // Open transactions, so that each connection of the pool is used.
+    const std::map<std::string, std::string> expected{{"colour", "red"}};
+    std::vector<std::unique_ptr<line_caller>> callers;
+    for (int index = 0; index < 3; ++index)
+    {
+        auto& next = *callers.emplace_back(
+            std::make_unique<line_caller>(proxy_->address()));
+        ASSERT_TRUE(next.start("latest", "key-a").ok());
+        ASSERT_TRUE(next.run("SET colour red").ok());
+        ASSERT_EQ(next.run("BEGIN").state, "T");
+        EXPECT_TRUE(next.run("FETCH item").ok());
+        const auto runs = runs_of(next.last_id());
+        ASSERT_EQ(runs.size(), 1U);
+        EXPECT_EQ(runs.front().values, expected);
+    }
+}
+
+// Guards against an acknowledged value that no member can be given: the command
+// of the proxy is longer than the client's.
+TEST_F(platform_statements, value_without_text_at_the_limit_is_served)
+{
+    constexpr std::size_t limit = zinniahub::test::max_hosted_line;
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    const std::string start = "QUERY 1 SET ";
+    const auto line = start + std::string(limit - start.size(), 'x');
+    ASSERT_TRUE(caller.send_raw(line + "\r\n").ok());
+    const auto opened = platform_.member(platform_.primary()).opened();
+    EXPECT_EQ(caller.run("PUT item data").code, "");
+    EXPECT_LE(platform_.member(platform_.primary()).opened() - opened, 1U);
+}
+
+// Guards against a client that fills the log of a host with its ids, and hides
+// the lines of others.
+TEST_F(platform_statements, long_ids_are_cut_in_the_log)
+{
+    constexpr std::size_t longest_line = 4096;
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    const std::string id(std::size_t{512} << 10, '\x01');
+    EXPECT_EQ(
+        caller.send_raw("QUERY " + id + " NONSENSE\r\n").code, "MALFORMED");
+    std::this_thread::sleep_for(200ms);
+    std::size_t longest = 0;
+    std::istringstream lines(proxy_->log());
+    for (std::string line; std::getline(lines, line);)
+    {
+        longest = std::max(longest, line.size());
+    }
+    EXPECT_LE(longest, longest_line);
+}
+
+// Guards against a session whose many values keep a connection and the thread
+// of the host busy for far longer than a statement may take.
+TEST_F(platform_statements, many_values_do_not_hold_up_a_statement)
+{
+    line_caller greedy(proxy_->address());
+    ASSERT_TRUE(greedy.start("latest", "key-a").ok());
+    std::size_t accepted = 0;
+    while (greedy.run(fmt::format("SET v{} x", accepted)).ok())
+    {
+        ++accepted;
+    }
+    const auto timed = [](line_caller& caller)
+    {
+        const auto started = std::chrono::steady_clock::now();
+        EXPECT_EQ(caller.run("FETCH item").code, "");
+        return std::chrono::duration<double>(
+                   std::chrono::steady_clock::now() - started)
+            .count();
+    };
+    line_caller plain(proxy_->address());
+    ASSERT_TRUE(plain.start("latest", "key-a").ok());
+    line_caller other(proxy_->address());
+    ASSERT_TRUE(other.start("latest", "key-b").ok());
+    const auto before = timed(other);
+    const auto first = timed(greedy);
+    // Of the proxy only: the stand-in copies all values for its record.
+    const auto busy_before = processor_s();
+    for (int index = 0; index < 50; ++index)
+    {
+        timed(greedy);
+    }
+    const auto again = (processor_s() - busy_before) / 50;
+    const auto plain_before = processor_s();
+    for (int index = 0; index < 50; ++index)
+    {
+        timed(other);
+    }
+    const auto ordinary = (processor_s() - plain_before) / 50;
+    GTEST_LOG_(INFO) << accepted << " values; other customer " << before
+                     << " s; first statement " << first
+                     << " s; processor time of a statement with nothing "
+                     << "to restore " << again << " s, of another customer "
+                     << ordinary << " s";
+    EXPECT_LT(first, 0.1);
+    EXPECT_LT(again, 0.002);
+}
+
+// Guards against a host that the messages and the session state of its clients
+// fill: the hosts of the users end a process beyond 260 MB.
+TEST_F(platform_statements, memory_is_bounded_over_all_sessions)
+{
+    constexpr std::size_t max_resident_kib = 260'000;
+    std::vector<std::unique_ptr<line_caller>> sessions;
+    const auto start = [&]() -> line_caller&
+    {
+        sessions.push_back(std::make_unique<line_caller>(proxy_->address()));
+        EXPECT_TRUE(sessions.back()->start("latest", "key-a").ok());
+        return *sessions.back();
+    };
+    const auto at_start = resident_kib();
+    const std::string large(1'000'000, 'x');
+    for (int index = 0; index < 100; ++index)
+    {
+        // Refused by the proxy, so that nothing is kept of it.
+        EXPECT_EQ(start().run("NONSENSE " + large).code, "MALFORMED");
+    }
+    const auto after_messages = resident_kib();
+    sessions.clear();
+    std::this_thread::sleep_for(200ms);
+    const auto after_close = resident_kib();
+    for (int index = 0; index < 60; ++index)
+    {
+        auto& caller = start();
+        for (int value = 0; value < 4; ++value)
+        {
+            (void)caller.run(fmt::format("SET v{} {}", value, large));
+        }
+    }
+    const auto after_values = resident_kib();
+    GTEST_LOG_(INFO) << "KiB at start " << at_start << ", 100 idle sessions "
+                     << after_messages << ", closed " << after_close
+                     << ", 60 sessions with values " << after_values;
+    EXPECT_LT(after_messages, max_resident_kib);
+    EXPECT_LT(after_values, max_resident_kib);
+}
+
+// Guards against bad input that ends a connection without a word.
+TEST_F(platform_statements, startup_that_is_too_long_is_refused)
+{
+    line_caller caller(proxy_->address(), 3s);
+    const std::string large(zinniahub::test::max_hosted_line + 5000, 'x');
+    EXPECT_EQ(
+        caller.send_raw("STARTUP latest " + large + "\r\n").code, "TOOLARGE");
+}
+
+// Guards against callers without a key that fill the memory of a host: the
+// hosts of the users end a process beyond 260 MB.
+TEST_F(platform_statements, unknown_callers_take_little_memory)
+{
+    constexpr std::size_t max_resident_kib = 100'000;
+    const std::string part =
+        "STARTUP latest " + std::string(1'000'000, 'x');
+    std::vector<std::unique_ptr<line_caller>> callers;
+    for (int index = 0; index < 150; ++index)
+    {
+        callers.push_back(std::make_unique<line_caller>(proxy_->address(), 3s));
+        callers.back()->send_only(part);
+    }
+    std::this_thread::sleep_for(300ms);
+    EXPECT_LT(resident_kib(), max_resident_kib);
+}
+
+// Guards against a client that makes a host close and open connections to a
+// member with each statement, which takes slots from other clients.
+TEST_F(platform_statements, rejected_shapes_close_no_connections)
+{
+    constexpr unsigned statements = 20;
+    for (std::size_t index = 0; index < platform_.size(); ++index)
+    {
+        platform_.member(index).refuse_statements(
+            "PREPARE", "MALFORMED", 0, statements);
+    }
+    prepared_session rejected(proxy_->address(), "PUT", "shape");
+    ASSERT_TRUE(rejected.start());
+    const auto opened = platform_.member(platform_.primary()).opened();
+    for (unsigned count = 0; count < statements; ++count)
+    {
+        EXPECT_EQ(rejected.caller.run("EXECUTE s1 item data").code, "MALFORMED");
+    }
+    EXPECT_LE(platform_.member(platform_.primary()).opened() - opened, 2U);
+}
+
+// Guards against bad input that an operator cannot see: the manual says that
+// the log names its reason.
+TEST_F(platform_statements, bad_input_is_logged)
+{
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    EXPECT_EQ(caller.send_raw("QUERY - PUT item own\r\n").code, "MALFORMED");
+    std::this_thread::sleep_for(200ms);
+    EXPECT_NE(proxy_->log().find("reserved"), std::string::npos);
 }
