--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -42,6 +42,9 @@
     }
 
 private:
+    /// Attempts of one operation at different members.
+    static constexpr unsigned max_attempts = 4;
+
     awaitable<bool> serve_next();
     /// Answers a message that is not a statement; the session goes on.
     /// @return false if the client has disconnected
