--- a/src/pooling/connection_lease.cpp
+++ b/src/pooling/connection_lease.cpp
@@ -144,6 +144,7 @@
     if (answer && answer->code == reply_code::unknown_prepared)
     {
         connection_->values.invalidate();
+        gateway_->pools_.of(instance_).on_state_lost();
     }
     co_return answer;
 }
--- a/src/pooling/member_pool.cpp
+++ b/src/pooling/member_pool.cpp
@@ -170,6 +170,14 @@
     idle_.push_front(std::move(connection));
 }
 
+void member_pool::on_state_lost()
+{
+    for (const auto& connection : idle_)
+    {
+        connection->values.invalidate();
+    }
+}
+
 void member_pool::on_call_failed(time_point now)
 {
     mark_suspect(now);
--- a/src/pooling/member_pool.hpp
+++ b/src/pooling/member_pool.hpp
@@ -100,6 +100,10 @@
     /// @brief Returns a connection to the pool; a broken one is closed.
     void return_connection(pooled_connection_ptr connection, time_point now);
 
+    /// @brief The member dropped the session state of a connection; idle ones
+    /// are not relied on either.
+    void on_state_lost();
+
     /// @brief A call on a connection failed.
     void on_call_failed(time_point now);
     /// @brief The member answered.
--- a/tests/unit/unit-member_pool.cpp
+++ b/tests/unit/unit-member_pool.cpp
@@ -95,6 +95,25 @@
     EXPECT_EQ(open_connections(pools_after_use(50, 9)), 18U);
 }
 
+// Guards against idle connections that count as holding what their member has
+// dropped.
+TEST(member_pool, idle_connections_are_not_relied_on_after_a_loss_of_state)
+{
+    member_pool pool;
+    pool.on_connecting();
+    pool.on_connected();
+    auto connection = make_connection("alba");
+    session_values session;
+    ASSERT_TRUE(session.set("colour", "red"));
+    connection->values.on_set("colour", "red");
+    ASSERT_TRUE(connection->values.holds(session, nullptr));
+    pool.return_connection(std::move(connection), start);
+    pool.on_state_lost();
+    const auto taken = pool.take_idle("alba", session);
+    ASSERT_NE(taken, nullptr);
+    EXPECT_FALSE(taken->values.holds(session, nullptr));
+}
+
 // Guards against a host that opens nothing, because its part of the member's
 // limit is less than one connection.
 TEST(member_pool, each_host_may_open_a_connection)
