--- a/tests/integration/integration-platform_statements.cpp
+++ b/tests/integration/integration-platform_statements.cpp
@@ -374,7 +374,7 @@
     ASSERT_EQ(caller.run("BEGIN").state, "T");
     ASSERT_TRUE(caller.run("PUT item kept").ok());
     const std::string too_long(zinniahub::test::max_hosted_line + 5000, 'x');
-    for (const std::string line :
+    for (const std::string& line :
          {std::string("QUERY - PUT item own"), std::string("QUERY"),
           std::string("QUERY 1"), std::string("GARBAGE \x01\xff"),
           std::string("STARTUP latest key-a"), std::string("QUERY 1 NONSENSE"),
