Write each text in a log line as one field

A key or a name of a record was written to the log as it came. With a line break it forged whole lines, with a blank or a quote it forged fields; the detail of an invalid record ended at the first quote in it.

--- a/src/control/configuration_sync.cpp
+++ b/src/control/configuration_sync.cpp
@@ -215,7 +215,7 @@
         invalid_record_count_.fetch_add(1);
         invalid_revisions_[entry.key()] = entry.revision();
         log::warning(
-            "invalid_resource", "key={} revision={} detail=\"{}\"", entry.key(),
+            "invalid_resource", "key={} revision={} detail={}", entry.key(),
             entry.revision(), value.error().detail);
         return std::nullopt;
     }
--- a/src/serve/proxy_server.cpp
+++ b/src/serve/proxy_server.cpp
@@ -166,7 +166,7 @@
     if (auto started = start_servers(); !started)
     {
         log::failure(
-            "start_failed", "error={} detail=\"{}\"",
+            "start_failed", "error={} detail={}",
             to_string(started.error().code), started.error().detail);
         return exit_failure;
     }
@@ -356,7 +356,7 @@
     auto codec = token_codec::make(secret);
     if (!codec)
     {
-        log::failure("token_secret", "detail=\"{}\"", codec.error().detail);
+        log::failure("token_secret", "detail={}", codec.error().detail);
         return;
     }
     codec_ = std::make_shared<const token_codec>(std::move(*codec));
--- /dev/null
+++ b/tests/unit/unit-outside_text.cpp
@@ -0,0 +1,143 @@
+#include "control/configuration_sync.hpp"
+#include "fake_platform_store.hpp"
+#include "kv/platform_client.hpp"
+#include "observability/log.hpp"
+#include "observability/metrics.hpp"
+#include "operator/apply.hpp"
+#include "operator/commands.hpp"
+#include "operator/explain.hpp"
+#include "operator/output.hpp"
+#include "operator/resource.hpp"
+#include "operator/watch.hpp"
+#include "settings/address.hpp"
+#include "zinniahub/v1/caller.grpc.pb.h"
+
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <sstream>
+
+namespace
+{
+
+using namespace zinniahub;
+using namespace std::string_literals;
+using namespace std::chrono_literals;
+
+std::ptrdiff_t count_of(const std::string& text, char character)
+{
+    return std::count(text.begin(), text.end(), character);
+}
+
+bool contains(const std::string& text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+v1::Resource domain_named(const std::string& name)
+{
+    v1::Resource value;
+    value.mutable_failure_domain()->set_name(name);
+    value.mutable_failure_domain()->set_in_service(true);
+    return value;
+}
+
+void add_record(
+    v1::SyncReply& reply, const std::string& key, const v1::Resource& value)
+{
+    auto* record = reply.add_records();
+    record->set_key(key);
+    record->set_revision(reply.revision());
+    record->set_value(value.SerializeAsString());
+}
+
+/// Applies records of a peer, without a platform.
+class synced_host
+{
+public:
+    synced_host()
+        : sync_(
+              io_, *platform_, 1s, metrics_,
+              [this](desired_state_ptr state) { state_ = std::move(state); })
+    {
+    }
+
+    void apply(const v1::SyncReply& reply)
+    {
+        sync_.on_relay_reply(reply, clock::now());
+    }
+
+    const desired_state* state() const
+    {
+        return state_.get();
+    }
+
+private:
+    boost::asio::io_context io_;
+    std::unique_ptr<kv::async_platform_client> platform_ =
+        kv::async_platform_client::make(io_, "127.0.0.1:1");
+    metrics::registry metrics_;
+    desired_state_ptr state_;
+    control::configuration_sync sync_;
+};
+
+// Guards against text from outside that ends a field of a log line, and forges
+// other fields or lines.
+TEST(outside_text, log_fields_end_where_the_writer_says)
+{
+    struct row
+    {
+        std::string text;
+        std::string written;
+    };
+    const std::vector<row> rows{
+        {"brno-1", "brno-1"},
+        {"/zinniahub/config/x", "/zinniahub/config/x"},
+        {"", R"("")"},
+        {" ", R"(" ")"},
+        {"a  b ", R"("a  b ")"},
+        {"a\tb", R"("a\tb")"},
+        {"a\nb", R"("a\nb")"},
+        {"a\rb", R"("a\rb")"},
+        {"a\0b"s, R"("a\x00b")"},
+        {"a\x7f", R"("a\x7f")"},
+        {"a\"b", R"("a\"b")"},
+        {"a\\", R"("a\\")"},
+        {"\x80\xff", "\x80\xff"},
+        {"x\ntime=now level=error event=forged",
+         R"("x\ntime=now level=error event=forged")"}};
+    for (const auto& [text, written] : rows)
+    {
+        testing::internal::CaptureStderr();
+        log::warning("invalid_resource", "key={} revision={}", text, 7);
+        const auto line = testing::internal::GetCapturedStderr();
+        EXPECT_EQ(count_of(line, '\n'), 1) << line;
+        EXPECT_TRUE(contains(
+            line, " event=invalid_resource key=" + written + " revision=7\n"))
+            << line;
+    }
+}
+
+// Guards against a detail with quotes of a record's text, which ends the
+// detail early.
+TEST(outside_text, log_detail_of_an_invalid_record_is_one_field)
+{
+    synced_host host;
+    v1::SyncReply reply;
+    reply.set_revision(5);
+    add_record(
+        reply, "/zinniahub/config/domain/x",
+        domain_named("x\" event=forged\ntime=now"));
+    testing::internal::CaptureStderr();
+    host.apply(reply);
+    const auto lines = testing::internal::GetCapturedStderr();
+    EXPECT_FALSE(contains(lines, "\ntime=now")) << lines;
+    EXPECT_TRUE(contains(
+        lines, R"(detail="name: found \"x\" event=forged\ntime=now\")"))
+        << lines;
+}
+
+} // namespace
