Skip records whose key is not one of the configuration

A record of a peer or the store with a key shorter than the prefix of the configuration threw out of the handler and ended the process. A longer key of another prefix was cut at any place, and a record under the key of one resource with the value of another one replaced that resource.

The name of a key comes from one function, which returns nothing for a foreign key. A value must be the resource that its key names; otherwise the record is invalid, is logged and counted, and the known one stays.

Both tests failed before the change (std::out_of_range; two domains instead of one) and pass with it.

--- a/src/control/configuration_sync.cpp
+++ b/src/control/configuration_sync.cpp
@@ -16,9 +16,27 @@
 constexpr std::uint32_t watch_wait_ms = 1000;
 
 /// Key without the configuration prefix, as `configuration_store` uses it.
+/// @return empty if the key is not one of the configuration; no record has an
+/// empty key
 std::string short_key(const std::string& key)
 {
-    return key.substr(kv::configuration_prefix.size());
+    return std::string(
+        kv::name_below(kv::configuration_prefix, key).value_or(""));
+}
+
+/// @brief Decodes the value of a record, which must be the resource that the
+/// key names. Otherwise it would replace the resource with that name.
+result<resource>
+decode_value(const resource_record& record, const std::string& value)
+{
+    auto decoded = decode_resource(value);
+    if (decoded && resource_key(*decoded) != record.key)
+    {
+        return fail(
+            errc::resource_invalid,
+            "the value is the resource " + resource_key(*decoded));
+    }
+    return decoded;
 }
 
 } // namespace
@@ -199,6 +217,13 @@
 configuration_sync::decode(const v1::KeyValue& entry)
 {
     resource_record record{short_key(entry.key()), entry.revision(), {}};
+    if (record.key.empty())
+    {
+        invalid_record_count_.fetch_add(1);
+        log::warning(
+            "foreign_key", "key={} revision={}", entry.key(), entry.revision());
+        return std::nullopt;
+    }
     const auto invalid = invalid_revisions_.find(entry.key());
     if (invalid != invalid_revisions_.end() &&
         invalid->second < entry.revision())
@@ -209,7 +234,7 @@
     {
         return record;
     }
-    auto value = decode_resource(entry.value());
+    auto value = decode_value(record, entry.value());
     if (!value)
     {
         invalid_record_count_.fetch_add(1);
--- a/src/kv/keys.hpp
+++ b/src/kv/keys.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -40,4 +41,17 @@
     return std::string(prefix).append(std::to_string(number));
 }
 
+/// @brief Name of a record below a prefix. Keys from the platform and from
+/// other hosts may be any text.
+/// @return nullopt if `key` does not begin with `prefix` or ends with it
+inline std::optional<std::string_view>
+name_below(std::string_view prefix, std::string_view key)
+{
+    if (!key.starts_with(prefix) || key.size() == prefix.size())
+    {
+        return std::nullopt;
+    }
+    return key.substr(prefix.size());
+}
+
 } // namespace zinniahub::kv
--- a/src/operator/resource.cpp
+++ b/src/operator/resource.cpp
@@ -27,9 +27,10 @@
 result<stored_resource>
 decode(const resource_kind& kind, const v1::KeyValue& entry)
 {
+    const auto name = kv::name_below(kind.prefix, entry.key());
     stored_resource stored{
-        kind, entry.key().substr(kind.prefix.size()), entry.revision(), {}};
-    if (!stored.value.ParseFromString(entry.value()) ||
+        kind, std::string(name.value_or("")), entry.revision(), {}};
+    if (!name || !stored.value.ParseFromString(entry.value()) ||
         stored.value.kind_case() == v1::Resource::KIND_NOT_SET)
     {
         return fail(
--- a/tests/unit/unit-outside_text.cpp
+++ b/tests/unit/unit-outside_text.cpp
@@ -84,6 +84,51 @@
     control::configuration_sync sync_;
 };
 
+// Guards against a key of a peer or the store that ends the process, because
+// it is shorter than the prefix of the configuration.
+TEST(outside_text, keys_outside_the_configuration_are_skipped)
+{
+    for (const bool full : {false, true})
+    {
+        synced_host host;
+        v1::SyncReply reply;
+        reply.set_revision(5);
+        reply.set_full(full);
+        add_record(
+            reply, "/zinniahub/config/domain/brno", domain_named("brno"));
+        for (const auto& key :
+             {""s, "/"s, "domain/zlin"s, "/zinniahub/config/"s,
+              "/zinniahub/owner/domain/zlin"s})
+        {
+            add_record(reply, key, domain_named("zlin"));
+        }
+        ASSERT_NO_THROW(host.apply(reply));
+        ASSERT_NE(host.state(), nullptr);
+        EXPECT_EQ(host.state()->domains.size(), 1U);
+        EXPECT_TRUE(host.state()->domains.contains("brno"));
+    }
+}
+
+// Guards against a record that replaces another resource, because its value
+// names a resource other than its key.
+TEST(outside_text, records_under_the_key_of_another_resource_are_skipped)
+{
+    synced_host host;
+    v1::SyncReply reply;
+    reply.set_revision(5);
+    add_record(reply, "/zinniahub/config/domain/brno", domain_named("brno"));
+    for (const auto& key :
+         {"domain/brno/x"s, "domain/Brno"s, "group/zlin"s, "domain/z lin"s,
+          "domain/"s, "domain/\0zlin"s})
+    {
+        add_record(reply, "/zinniahub/config/" + key, domain_named("zlin"));
+    }
+    host.apply(reply);
+    ASSERT_NE(host.state(), nullptr);
+    EXPECT_EQ(host.state()->domains.size(), 1U);
+    EXPECT_TRUE(host.state()->domains.contains("brno"));
+}
+
 // Guards against text from outside that ends a field of a log line, and forges
 // other fields or lines.
 TEST(outside_text, log_fields_end_where_the_writer_says)
