Bound the name of a statement class

A client chooses the class of a statement, without a key too, and many lines of the metrics repeat it. One class of 1 MiB made a page of 24 MB; a class could have about 2 MiB, and there are 32 for each customer.

A class of more than 64 bytes counts as "other". The test failed before the change with a page of 24,126,062 bytes and passes with it (below 20,000).

--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -19,6 +19,22 @@
 
 namespace acc = boost::accumulators;
 
+/// Longer names of classes count as `other_class`, because many lines of
+/// the exposition repeat the name.
+constexpr std::size_t max_class_bytes = 64;
+constexpr std::string_view other_class = "other";
+
+std::string class_name(std::string_view statement_class)
+{
+    if (statement_class.empty())
+    {
+        return "default";
+    }
+    return std::string(
+        statement_class.size() > max_class_bytes ? other_class
+                                                 : statement_class);
+}
+
 } // namespace
 
 latency_distribution::latency_distribution()
@@ -148,10 +164,10 @@
 {
     const std::lock_guard lock(mutex_);
     auto& classes = series_[std::string(customer)];
-    std::string name(statement_class.empty() ? "default" : statement_class);
+    auto name = class_name(statement_class);
     if (classes.size() >= max_classes && classes.find(name) == classes.end())
     {
-        name = "other";
+        name = other_class;
     }
     auto& series = classes[name];
     if (!series)
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -84,7 +84,8 @@
     counter& counter_of(const std::string& name);
 
     /// @brief Returns the series of a customer and class. At most
-    /// `max_classes` classes per customer; further ones count as "other".
+    /// `max_classes` classes per customer; further ones and names of more than
+    /// 64 bytes count as "other".
     request_series&
     series_of(std::string_view customer, std::string_view statement_class);
 
--- a/tests/unit/unit-outside_text.cpp
+++ b/tests/unit/unit-outside_text.cpp
@@ -185,4 +185,22 @@
         << lines;
 }
 
+// Guards against a class of any length that a client chooses: each of the
+// label's lines repeats it, and the page of the metrics outgrows the memory.
+TEST(outside_text, long_statement_classes_count_as_other)
+{
+    metrics::registry numbers;
+    const std::string longest(64, 'c');
+    for (const auto& name : {longest, longest + "c", std::string(1 << 20, 'd')})
+    {
+        numbers.series_of("plant", name)
+            .record(verdict::done, errc{}, false, 1ms);
+    }
+    const auto page = numbers.expose();
+    EXPECT_LT(page.size(), 20'000U);
+    EXPECT_TRUE(
+        contains(page, "class=\"" + longest + "\",verdict=\"done\"} 1"));
+    EXPECT_TRUE(contains(page, R"(class="other",verdict="done"} 2)"));
+}
+
 } // namespace
