Refuse text after an address

The parsers of an address read to the first NUL, and Boost takes any text as the zone of an IPv6 address. So a record or a setting held an address with further text behind it, which then went to gRPC, to messages and to output.

An address holds no NUL, and a zone must be a name. The test failed before the change for "127.0.0.1<NUL>x:5401" and "[::1%x<LF>]:5401", among others, and passes with it.

--- a/src/lib/resource_validation.cpp
+++ b/src/lib/resource_validation.cpp
@@ -57,7 +57,8 @@
 bool is_address(const std::string& text)
 {
     const auto colon = text.find(':');
-    if (colon == std::string::npos)
+    // The parser of the address reads to the first NUL.
+    if (colon == std::string::npos || text.find('\0') != std::string::npos)
     {
         return false;
     }
--- a/src/settings/address.cpp
+++ b/src/settings/address.cpp
@@ -24,12 +24,24 @@
     return parsed.ec == std::errc() && parsed.ptr == end && port != 0;
 }
 
+/// The parser of Boost reads to the first NUL and takes any text as the zone of
+/// an IPv6 address.
+bool is_host_text(std::string_view text)
+{
+    const auto zone = text.find('%');
+    const auto has_valid_zone =
+        zone == std::string_view::npos || is_name(text.substr(zone + 1));
+    return has_valid_zone && text.find('\0') == std::string_view::npos;
+}
+
 std::optional<boost::asio::ip::address> parse_host(std::string_view text)
 {
     const bool bracketed =
         text.size() > 2 && text.front() == '[' && text.back() == ']';
     if (bracketed)
         text = text.substr(1, text.size() - 2);
+    if (!is_host_text(text))
+        return std::nullopt;
     boost::system::error_code failed;
     const auto parsed =
         boost::asio::ip::make_address(std::string(text), failed);
--- a/tests/unit/unit-outside_text.cpp
+++ b/tests/unit/unit-outside_text.cpp
@@ -203,4 +203,29 @@
     EXPECT_TRUE(contains(page, R"(class="other",verdict="done"} 2)"));
 }
 
+// Guards against text after the address, which the parser does not see but
+// the connection, a log line or a message would hold.
+TEST(outside_text, addresses_hold_nothing_but_the_address)
+{
+    for (const auto& host :
+         {"127.0.0.1\0x"s, "127.0.0.1 "s, " 127.0.0.1"s, "127.0.0.1\n"s,
+          "127.0.0.1\t"s, "127.0.0.1\r"s, "127.0.0.1\x80"s, "\0"s, ""s, "unix"s,
+          "dns:///127.0.0.1"s})
+    {
+        const auto address = host + ":5401";
+        EXPECT_FALSE(settings::is_address(address)) << address;
+        const group_resource group{
+            "takes", 1, {{"m1", address, "brno", false}}, 3, 20, false};
+        EXPECT_FALSE(validate(resource(group))) << address;
+    }
+    for (const auto& host :
+         {"[::1%x\n]"s, "[fe80::1%eth0 x]"s, "[fe80::1%]"s, "[::1\0]"s})
+    {
+        EXPECT_FALSE(settings::is_address(host + ":5401")) << host;
+    }
+    EXPECT_TRUE(settings::is_address("127.0.0.1:5401"));
+    EXPECT_TRUE(settings::is_address("[::1]:5401"));
+    EXPECT_TRUE(settings::is_address("[fe80::1%eth0]:5401"));
+}
+
 } // namespace
