Connect to announced addresses only

The address that another host announces went to gRPC as it came, which reads text such as "dns:///x", "unix:/x" or a list as a target of another kind.

Text that is no address is ignored; the host keeps the address that is known.

--- a/src/control/peer_client.cpp
+++ b/src/control/peer_client.cpp
@@ -1,5 +1,6 @@
 #include "control/peer_client.hpp"
 
+#include "settings/address.hpp"
 #include "upstream/channel.hpp"
 
 #include <boost/asio/post.hpp>
@@ -35,6 +36,11 @@
 {
     const auto route = routes_.find(host);
     const auto& effective = route == routes_.end() ? address : route->second;
+    // gRPC would read other text as a name, a socket file or a list.
+    if (!settings::is_connectable_address(effective))
+    {
+        return;
+    }
     auto& known = peers_[host];
     if (known.address == effective)
     {
--- a/src/control/peer_client.hpp
+++ b/src/control/peer_client.hpp
@@ -29,6 +29,8 @@
         boost::asio::io_context& io,
         const std::vector<settings::peer_route>& routes);
 
+    /// @param address as the host announced it; text that is no address is
+    /// ignored
     void set_address(const std::string& host, const std::string& address);
 
     /// @return `errc::member_unreachable` through the handler if the host has
--- a/tests/unit/unit-peer_client.cpp
+++ b/tests/unit/unit-peer_client.cpp
@@ -59,4 +59,38 @@
     server->Shutdown();
 }
 
+// Guards against an announced address that gRPC reads as a name, a socket file
+// or a list of addresses.
+TEST(peer_client, announced_text_that_is_no_address_is_not_connected)
+{
+    large_peer service;
+    int port = 0;
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(
+        "127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(&service);
+    const auto server = builder.BuildAndStart();
+    ASSERT_NE(server, nullptr);
+
+    const auto address = "127.0.0.1:" + std::to_string(port);
+    for (const auto& text :
+         {"ipv4:" + address, "dns:///" + address, address + ",127.0.0.1:1",
+          address + std::string(1, '\0'), std::string()})
+    {
+        boost::asio::io_context io;
+        control::peer_client peers(io, {});
+        peers.set_address("entry-1", text);
+        bool failed_at_once = false;
+        peers.sync(
+            "entry-1", {}, std::chrono::seconds(10),
+            [&](const result<v1::SyncReply>& reply)
+            { failed_at_once = !reply; });
+        EXPECT_TRUE(failed_at_once) << text;
+        // A call that was started ends before its client does.
+        const auto guard = boost::asio::make_work_guard(io);
+        io.run_one_for(std::chrono::seconds(failed_at_once ? 0 : 15));
+    }
+    server->Shutdown();
+}
+
 } // namespace
