Print text from outside as parts of one line

Rows, details, names of records, reports of hosts and fields of log lines went to the output of exec, get, list, watch and explain and to error messages as they came. A tab, blank, quote or line break in them forged rows, fields or lines, the line with the verdict among them.

Control characters and backslashes are escaped, and fields are quoted unless they are tidy. Output of tidy text is unchanged, and so is JSON.

--- a/src/operator/exec_command.cpp
+++ b/src/operator/exec_command.cpp
@@ -1,3 +1,4 @@
+#include "observability/printable.hpp"
 #include "operator/commands.hpp"
 #include "operator/exec.hpp"
 #include "operator/json.hpp"
@@ -189,21 +190,21 @@
 void print_text(const exec_outcome& outcome)
 {
     for (const auto& [key, value] : outcome.rows)
-        print_line(fmt::format("{}\t{}", key, value));
+        print_line(fmt::format("{}\t{}", printable(key), printable(value)));
     auto line = fmt::format(
         "{} verdict={} proxy={}", name_of(outcome.operation),
         to_string(outcome.verdict), outcome.proxy);
     if (!outcome.served_by.empty())
     {
         line += fmt::format(
-            " served_by={} role={}", outcome.served_by,
+            " served_by={} role={}", field_value(outcome.served_by),
             outcome.from_replica ? "replica" : "primary");
     }
     if (outcome.error_code != 0)
     {
         line += fmt::format(
-            " error={} {} detail=\"{}\"", outcome.error_code,
-            error_name(outcome), outcome.error_detail);
+            " error={} {} detail={}", outcome.error_code, error_name(outcome),
+            quoted_text(outcome.error_detail));
     }
     print_line(line);
 }
--- a/src/operator/explain.cpp
+++ b/src/operator/explain.cpp
@@ -1,5 +1,7 @@
 #include "operator/explain.hpp"
 
+#include "observability/printable.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -80,7 +82,8 @@
             }
             else if (name != "ts" && name != "event" && name != "up_ms")
             {
-                entry.fields += fmt::format(" {}={}", name, shown);
+                entry.fields +=
+                    fmt::format(" {}={}", printable(name), field_value(shown));
             }
         }
         if (entry.event == "log_dropped")
@@ -152,7 +155,7 @@
     {
         fmt::format_to(
             std::back_inserter(out), "{} {:<24} {:<22}{}\n", entry->at_ms,
-            entry->node, entry->event, entry->fields);
+            field_value(entry->node), field_value(entry->event), entry->fields);
     }
     if (!found())
     {
--- a/src/operator/output.cpp
+++ b/src/operator/output.cpp
@@ -1,5 +1,6 @@
 #include "operator/output.hpp"
 
+#include "observability/printable.hpp"
 #include "operator/json.hpp"
 
 #include <fmt/format.h>
@@ -52,7 +53,7 @@
         fmt::print(
             stderr, "zinniahub: error {} {}: {}\n",
             static_cast<std::uint32_t>(failure.code), to_string(failure.code),
-            failure.detail);
+            printable(failure.detail));
     }
     return exit_code_of(failure.code);
 }
--- a/src/operator/resource.cpp
+++ b/src/operator/resource.cpp
@@ -2,6 +2,7 @@
 
 #include "control/resource_codec.hpp"
 #include "kv/keys.hpp"
+#include "observability/printable.hpp"
 #include "operator/json.hpp"
 
 #include <fmt/format.h>
@@ -212,8 +213,8 @@
 std::string to_text(const stored_resource& resource)
 {
     return fmt::format(
-        "{}/{} revision={} {}", resource.kind.name, resource.name,
-        resource.revision, describe(resource.value));
+        "{}/{} revision={} {}", resource.kind.name, field_value(resource.name),
+        resource.revision, printable(describe(resource.value)));
 }
 
 std::string describe(const v1::Resource& value)
--- a/src/operator/watch.cpp
+++ b/src/operator/watch.cpp
@@ -3,6 +3,7 @@
 #include "control/report_codec.hpp"
 #include "control/resource_codec.hpp"
 #include "kv/keys.hpp"
+#include "observability/printable.hpp"
 #include "operator/json.hpp"
 
 #include <fmt/format.h>
@@ -142,12 +143,12 @@
     const auto& status = watched.status;
     auto text = fmt::format(
         "{} {}\n  observed: {}", status.converged ? "converged" : "pending",
-        to_text(watched.declared), status.observed);
+        to_text(watched.declared), printable(status.observed));
     for (const auto& entry : status.lagging)
     {
         fmt::format_to(
             std::back_inserter(text), "\n  lagging: {}: {}",
-            describe_location(entry), entry.reason);
+            printable(describe_location(entry)), printable(entry.reason));
     }
     return text;
 }
--- a/tests/unit/unit-outside_text.cpp
+++ b/tests/unit/unit-outside_text.cpp
@@ -228,4 +228,134 @@
     EXPECT_TRUE(settings::is_address("[fe80::1%eth0]:5401"));
 }
 
+/// Answers each request with rows and a detail that hold separators.
+class hostile_proxy final : public v1::Proxy::Service
+{
+public:
+    grpc::Status Session(
+        grpc::ServerContext*,
+        grpc::ServerReaderWriter<v1::Reply, v1::Request>* stream) override
+    {
+        v1::Request request;
+        while (stream->Read(&request))
+        {
+            ++requests;
+            v1::Reply reply;
+            reply.set_id(request.id());
+            reply.set_verdict(v1::VERDICT_NOT_RUN);
+            reply.set_error_code(
+                static_cast<std::uint32_t>(errc::request_invalid));
+            reply.set_error_detail("x\" forged=1\nstatement verdict=done");
+            reply.set_served_by("m1 role=primary");
+            auto* row = reply.add_rows();
+            row->set_key("k\t1");
+            row->set_value("\"v\"\\\nstatement verdict=done");
+            stream->Write(reply);
+        }
+        return grpc::Status::OK;
+    }
+
+    std::atomic<int> requests = 0;
+};
+
+/// Runs `exec` with one statement at a proxy in this process.
+class exec_outside_text : public testing::Test
+{
+protected:
+    exec_outside_text()
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(
+            "127.0.0.1:0", grpc::InsecureServerCredentials(), &port_);
+        builder.RegisterService(&proxy);
+        server_ = builder.BuildAndStart();
+    }
+
+    ~exec_outside_text() override
+    {
+        server_->Shutdown();
+    }
+
+    commands::exit_code
+    run(const std::string& group, const std::string& key,
+        const std::string& statement)
+    {
+        const std::vector<std::string> arguments{
+            "--proxy=127.0.0.1:" + std::to_string(port_), "--group=" + group,
+            "--key=" + key, "--", statement};
+        return commands::run_exec(arguments);
+    }
+
+    hostile_proxy proxy;
+
+private:
+    int port_ = 0;
+    std::unique_ptr<grpc::Server> server_;
+};
+
+// Guards against rows and details that forge rows or the line with the verdict.
+TEST_F(exec_outside_text, output_lines_end_where_the_command_says)
+{
+    testing::internal::CaptureStdout();
+    run("takes", "", "SELECT");
+    const auto lines = testing::internal::GetCapturedStdout();
+    EXPECT_EQ(count_of(lines, '\n'), 2) << lines;
+    EXPECT_EQ(count_of(lines, '\t'), 1) << lines;
+    EXPECT_TRUE(contains(lines, "k\\t1\t\"v\"\\\\\\nstatement verdict=done\n"))
+        << lines;
+    EXPECT_TRUE(contains(lines, R"( served_by="m1 role=primary" )")) << lines;
+    EXPECT_TRUE(contains(
+        lines, R"( detail="x\" forged=1\nstatement verdict=done")"
+               "\n"))
+        << lines;
+}
+
+// Guards against a text of a log line that forges lines or fields of the
+// explanation.
+TEST(outside_text, explain_prints_each_field_as_one)
+{
+    commands::explanation summary("77");
+    std::istringstream input(
+        R"({"ts":300,"node":"n 1","event":"reply_failed","id":"77","name":"a b\n400 n2 forged","why":"busy"})");
+    summary.read(input);
+    const auto text = summary.text();
+    EXPECT_EQ(count_of(text, '\n'), 1) << text;
+    EXPECT_TRUE(contains(text, R"( name="a b\n400 n2 forged" why=busy)"))
+        << text;
+    EXPECT_TRUE(contains(text, R"("n 1")")) << text;
+}
+
+// Guards against a record whose text forges lines of `list` and `get`.
+TEST(outside_text, listed_resources_are_one_line)
+{
+    commands::stored_resource stored{
+        *commands::kind_of("domain"), "x\ngroup/forged", 3, domain_named("x")};
+    EXPECT_EQ(count_of(commands::to_text(stored), '\n'), 0);
+}
+
+// Guards against a host whose name forges lines of `watch`.
+TEST(outside_text, watched_hosts_are_one_line)
+{
+    commands::watched_resource watched{
+        {*commands::kind_of("domain"), "x", 3, domain_named("x")}, {}};
+    watched.status.observed = "in force on 0 of 1 hosts";
+    lagging_host lag;
+    lag.failure_domain = "x\n  lagging: none";
+    lag.host = "h\r\nconverged domain/x";
+    lag.reason = "primary m1\nconverged is not declared";
+    watched.status.lagging.push_back(lag);
+    EXPECT_EQ(count_of(commands::to_text(watched), '\n'), 2);
+}
+
+// Guards against an error whose detail forges further lines of standard error.
+TEST(outside_text, reported_errors_are_one_line)
+{
+    testing::internal::CaptureStderr();
+    commands::report(
+        {errc::usage, "member \"a\nzinniahub: error 0 ok\""},
+        commands::output_format::text);
+    const auto text = testing::internal::GetCapturedStderr();
+    EXPECT_EQ(count_of(text, '\n'), 1) << text;
+}
+
 } // namespace
