Refuse arguments that no message can hold

A message whose text is not UTF-8 cannot be read by the receiver. exec sent such a statement, group or key; the proxy ended the stream without a reply, and the command reported an unknown outcome and exit code 9 for a statement that never ran. apply stored such a key, which no client can send.

Arguments, the group and the key are checked first: exit code 2, and nothing is sent.

--- a/src/operator/apply.cpp
+++ b/src/operator/apply.cpp
@@ -1,6 +1,7 @@
 #include "operator/apply.hpp"
 
 #include "kv/keys.hpp"
+#include "operator/utf8.hpp"
 
 #include <zinniahub/customer_keys.hpp>
 
@@ -324,6 +325,8 @@
                 "a key has {} to {} characters, this one has {}",
                 min_key_length, max_key_length, key.size()));
     }
+    if (!is_utf8(key))
+        return fail(errc::resource_invalid, "a key is UTF-8 text");
     const auto digest = digest_of(key);
     if (const auto unused = check_key_unused(store, customer, digest); !unused)
         return tl::make_unexpected(unused.error());
--- a/src/operator/exec_command.cpp
+++ b/src/operator/exec_command.cpp
@@ -3,6 +3,7 @@
 #include "operator/exec.hpp"
 #include "operator/json.hpp"
 #include "operator/store_options.hpp"
+#include "operator/utf8.hpp"
 #include "settings/address.hpp"
 
 #include <fmt/format.h>
@@ -130,6 +131,10 @@
     const auto key = read_key(values);
     if (!key)
         return tl::make_unexpected(key.error());
+    if (!is_utf8(values.group))
+        return fail(errc::usage, "--group is not UTF-8");
+    if (!is_utf8(*key))
+        return fail(errc::usage, "the key is not UTF-8");
     const auto token = read_token(values.token_file);
     if (!token)
         return tl::make_unexpected(token.error());
--- a/src/operator/store_options.cpp
+++ b/src/operator/store_options.cpp
@@ -1,9 +1,11 @@
 #include "operator/store_options.hpp"
 
+#include "operator/utf8.hpp"
 #include "settings/address.hpp"
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <iostream>
@@ -75,6 +77,11 @@
             fmt::format(
                 "{} arguments given, usage: zinniahub {}", given, synopsis));
     }
+    if (!std::all_of(
+            parsed->positional.begin(), parsed->positional.end(), is_utf8))
+    {
+        return fail(errc::usage, "an argument is not UTF-8");
+    }
     return parsed;
 }
 
--- a/tests/unit/unit-outside_text.cpp
+++ b/tests/unit/unit-outside_text.cpp
@@ -310,6 +310,23 @@
         << lines;
 }
 
+// Guards against text that a proxy cannot read: it ends the stream without a
+// reply, and the statement counts as one that may have run.
+TEST_F(exec_outside_text, text_that_is_not_utf8_is_not_sent)
+{
+    const std::string bad = "caf\xe9";
+    testing::internal::CaptureStderr();
+    EXPECT_EQ(run("takes", "", bad), commands::exit_code::usage);
+    EXPECT_EQ(run(bad, "", "SELECT"), commands::exit_code::usage);
+    EXPECT_EQ(run("takes", bad, "SELECT"), commands::exit_code::usage);
+    testing::internal::GetCapturedStderr();
+    EXPECT_EQ(proxy.requests.load(), 0);
+    testing::internal::CaptureStdout();
+    run("takes", "", "caf\xc3\xa9");
+    testing::internal::GetCapturedStdout();
+    EXPECT_EQ(proxy.requests.load(), 1);
+}
+
 // Guards against a text of a log line that forges lines or fields of the
 // explanation.
 TEST(outside_text, explain_prints_each_field_as_one)
@@ -358,4 +375,19 @@
     EXPECT_EQ(count_of(text, '\n'), 1) << text;
 }
 
+// Guards against a declared key that no client can send.
+TEST(outside_text, keys_are_utf8)
+{
+    tests::fake_platform_store store;
+    commands::customer_declaration plant;
+    plant.name = "plant";
+    plant.rate = 10;
+    plant.burst = 10;
+    ASSERT_TRUE(commands::apply_customer(store, plant, {}));
+    EXPECT_FALSE(
+        commands::apply_key(store, "plant", "k1", "0123456789abcde\xff", {}));
+    EXPECT_TRUE(commands::apply_key(
+        store, "plant", "k1", "0123456789abc\xc3\xa9 ", {}));
+}
+
 } // namespace
