Test any text and length in the messages of clients

Text that is not UTF-8 ends its own stream, rolls its transaction back and harms no other stream. Any other text is answered, at once and in the log as one field, and so is a request as long as the proxy takes one; one byte more ends that stream only.

--- a/tests/integration/integration-operators.cpp
+++ b/tests/integration/integration-operators.cpp
@@ -330,6 +330,81 @@
     }
 }
 
+// Guards against a message that cannot be read, because a text is not UTF-8,
+// and that harms other streams or leaves a part of its transaction behind.
+TEST(operators, text_that_is_not_utf8_ends_its_own_stream_only)
+{
+    fleet system{fleet_options{}};
+    auto other = system.connect(0, customer);
+    ASSERT_TRUE(other->begin().is_done());
+    ASSERT_TRUE(other->write("add other/1 1").is_done());
+
+    auto sender = system.connect(0, customer);
+    ASSERT_TRUE(sender->begin().is_done());
+    ASSERT_TRUE(sender->write("add sender/1 1").is_done());
+    EXPECT_FALSE(sender->write("add sender/caf\xe9 1").answered);
+
+    EXPECT_TRUE(other->write("add other/2 1").is_done());
+    EXPECT_TRUE(other->commit().is_done());
+    EXPECT_TRUE(eventually(
+        5s,
+        [&] { return system.metric(0, "zinniahub_open_transactions") == 0; }));
+    const auto rows = system.rows_of(system.primary_of(group));
+    EXPECT_TRUE(rows.contains("other/2"));
+    for (const auto& [row, value] : rows)
+    {
+        EXPECT_FALSE(row.starts_with("sender/")) << row;
+    }
+}
+
+// Guards against text that a message can hold and that gets no reply.
+TEST(operators, any_text_of_a_message_is_answered)
+{
+    using namespace std::string_literals;
+    fleet system{fleet_options{}};
+    for (const auto& text :
+         {""s, " "s, "  "s, "\t"s, "\r"s, "\n"s, "\r\n"s, "\0"s, "\""s,
+          "caf\xc3\xa9"s, " a  b "s, "x\nlevel=error event=forged"s})
+    {
+        auto sender = system.connect(0, customer);
+        EXPECT_TRUE(sender->write(text).answered) << text;
+        zinniahub::v1::Request request;
+        request.set_access(zinniahub::v1::ACCESS_WRITE);
+        request.set_text("add row/1 1");
+        request.set_statement_class(text);
+        EXPECT_TRUE(sender->run(request).is_done()) << text;
+        caller stranger(system.proxy_address(0), "key" + text, "group" + text);
+        EXPECT_EQ(stranger.write("add row/2 1").code, errc::group_unknown)
+            << text;
+    }
+    EXPECT_FALSE(contains(system.log_of("proxy0"), "\nlevel=error"));
+}
+
+// Guards against a refusal that is lost, because it repeats a name as long as
+// a message of a client may be.
+TEST(operators, refusal_of_a_message_at_the_limit_is_delivered)
+{
+    // Twice the default of limits.max_statement_bytes and the margin for the
+    // other fields.
+    constexpr std::size_t message_bytes =
+        std::size_t{2} * 1024 * 1024 + std::size_t{64} * 1024;
+    // Id, deadline and the header of the group.
+    constexpr std::size_t other_fields_bytes = 10;
+    fleet system{fleet_options{}};
+    caller stranger(
+        system.proxy_address(0), "",
+        std::string(message_bytes - other_fields_bytes, 'g'));
+    const auto reply = stranger.run({});
+    EXPECT_TRUE(reply.answered) << reply.detail;
+    EXPECT_EQ(reply.code, errc::group_unknown);
+
+    caller above(
+        system.proxy_address(0), "",
+        std::string(message_bytes - other_fields_bytes + 1, 'g'));
+    EXPECT_FALSE(above.run({}).answered);
+    EXPECT_TRUE(system.connect(0, customer)->write("add row/1 1").is_done());
+}
+
 // Guards against malformed replies of an upstream that reach a caller as an
 // answer, or that make a request run twice.
 TEST(operators, garbage_of_an_upstream_is_a_typed_error)
