--- a/src/operator/resource.cpp
+++ b/src/operator/resource.cpp
@@ -2,6 +2,7 @@
 
 #include "control/resource_codec.hpp"
 #include "kv/keys.hpp"
+#include "observability/printable.hpp"
 #include "operator/json.hpp"
 
 #include <fmt/format.h>
@@ -27,9 +28,10 @@
 result<stored_resource>
 decode(const resource_kind& kind, const v1::KeyValue& entry)
 {
+    const auto name = kv::name_below(kind.prefix, entry.key());
     stored_resource stored{
-        kind, entry.key().substr(kind.prefix.size()), entry.revision(), {}};
-    if (!stored.value.ParseFromString(entry.value()) ||
+        kind, std::string(name.value_or("")), entry.revision(), {}};
+    if (!name || !stored.value.ParseFromString(entry.value()) ||
         stored.value.kind_case() == v1::Resource::KIND_NOT_SET)
     {
         return fail(
@@ -211,8 +213,8 @@
 std::string to_text(const stored_resource& resource)
 {
     return fmt::format(
-        "{}/{} revision={} {}", resource.kind.name, resource.name,
-        resource.revision, describe(resource.value));
+        "{}/{} revision={} {}", resource.kind.name, field_value(resource.name),
+        resource.revision, printable(describe(resource.value)));
 }
 
 std::string describe(const v1::Resource& value)
