--- a/tests/unit/unit-platform_line.cpp
+++ b/tests/unit/unit-platform_line.cpp
@@ -166,6 +166,23 @@
     EXPECT_EQ(with_position.error().code, errc::statement_too_large);
 }
 
+// Guards against a reply beyond the limit, whose code was shorter at the
+// member.
+TEST(platform_line, error_of_a_member_stays_within_the_limit)
+{
+    const std::string text(max_line_bytes - 8, 'x');
+    reply_decoder decoder;
+    ASSERT_TRUE(decoder.on_line("ERROR X " + text));
+    ASSERT_TRUE(decoder.on_line("READY I -"));
+    const auto bytes = encode_reply(decoder.take());
+    EXPECT_EQ(bytes.find("\r\n"), max_line_bytes);
+    EXPECT_TRUE(bytes.starts_with("ERROR FAILED x"));
+    EXPECT_TRUE(bytes.ends_with("x\r\nREADY I -\r\n"));
+    EXPECT_EQ(
+        encode_startup_refusal(reply_code::busy, text + text).size(),
+        max_line_bytes + 2);
+}
+
 // Guards against a statement that a member reads otherwise than its client
 // wrote it, for any text.
 TEST(platform_line, member_reads_what_the_client_wrote)
