--- a/tests/unit/unit-member_relay.cpp
+++ b/tests/unit/unit-member_relay.cpp
@@ -1,4 +1,5 @@
 #include "coordination/member_relay.hpp"
+#include "unit/absent_store.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <fmt/format.h>
@@ -19,41 +20,6 @@
 using namespace zinniahub;
 using namespace zinniahub::coordination;
 
-/// Store that serves nobody.
-class absent_store : public store
-{
-public:
-    awaitable<result<store_batch>> list(std::string_view) override
-    {
-        co_return fail(errc::platform_unavailable);
-    }
-    awaitable<result<store_batch>>
-    watch(std::string_view, std::uint64_t, duration) override
-    {
-        co_return fail(errc::platform_unavailable);
-    }
-    awaitable<result<std::uint64_t>> commit(const store_transaction&) override
-    {
-        co_return fail(errc::platform_unavailable);
-    }
-    awaitable<result<store_lease>> grant_lease(duration) override
-    {
-        co_return fail(errc::platform_unavailable);
-    }
-    awaitable<result<duration>> renew_lease(std::uint64_t) override
-    {
-        co_return fail(errc::platform_unavailable);
-    }
-    awaitable<result<void>> revoke_lease(std::uint64_t) override
-    {
-        co_return fail(errc::platform_unavailable);
-    }
-    time_point last_answer_at() const override
-    {
-        return time_point::min();
-    }
-};
-
 /// Keeps what is sent.
 class recorded_datagrams : public datagram_transport
 {
@@ -99,7 +65,7 @@
     }
 
     boost::asio::io_context io;
-    absent_store state;
+    tests::absent_store state;
     log::event_log events{{.descriptor = ::open("/dev/null", O_WRONLY)}};
     recorded_datagrams network;
     host_registry hosts{
