Log the members behind each order, and each acknowledged commit

Cause: the logs told of an order only the oldest status and the farthest paused position, and of one commit in 64 that it was acknowledged.

Change: promotion_basis, a line for each member before an order, with its last status and the age of that; commit_acknowledged with id, member and position.

No decision changes.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -101,6 +101,20 @@
     duration oldest_status{};
 };
 
+/// @brief What the planner knows about one member, for logs.
+struct failover_member_report
+{
+    std::string_view instance;
+    /// Last status of the member; none if it has never answered.
+    std::optional<replication_status> status;
+    /// Age of the status, counted from its query.
+    duration status_age{};
+    bool registered = false;
+    bool leaving = false;
+    /// The member has exited and its log is gone.
+    bool has_exited = false;
+};
+
 using failover_step = std::variant<
     failover_action::query, failover_action::pause_replication,
     failover_action::resume_replication, failover_action::step_down,
@@ -279,6 +293,9 @@
     /// @brief What the planner knows about the members, for logs.
     failover_summary summary(time_point now) const;
 
+    /// @brief What the planner knows about each member, for logs.
+    std::vector<failover_member_report> member_reports(time_point now) const;
+
 private:
     struct member_state
     {
--- a/include/zinniahub/log_position.hpp
+++ b/include/zinniahub/log_position.hpp
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 
 namespace zinniahub
 {
@@ -19,4 +20,10 @@
     friend auto operator<=>(const log_position&, const log_position&) = default;
 };
 
+/// @brief Text of a position for logs, for example "3.1207".
+inline std::string to_string(log_position position)
+{
+    return std::to_string(position.term) + '.' + std::to_string(position.index);
+}
+
 } // namespace zinniahub
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -25,11 +24,6 @@
 /// Name under which status connections are opened.
 constexpr std::string_view control_customer = "zinniahub";
 
-std::string to_text(log_position position)
-{
-    return fmt::format("{}.{}", position.term, position.index);
-}
-
 std::int64_t to_ms(duration value)
 {
     return value / std::chrono::milliseconds(1);
@@ -300,20 +294,44 @@
     }
     const auto basis = service.planner.summary(now);
     events_.write(
-        "failover_state", {{"service", name},
-                           {"from", service.last_state},
-                           {"to", state},
-                           {"reason", service.planner.reason()},
-                           {"candidate", basis.candidate},
-                           {"position", to_text(basis.candidate_position)},
-                           {"known", basis.known},
-                           {"answered", basis.answered},
-                           {"paused", basis.paused},
-                           {"farthest_paused", to_text(basis.farthest_paused)},
-                           {"oldest_status_ms", to_ms(basis.oldest_status)}});
+        "failover_state",
+        {{"service", name},
+         {"from", service.last_state},
+         {"to", state},
+         {"reason", service.planner.reason()},
+         {"candidate", basis.candidate},
+         {"position", to_string(basis.candidate_position)},
+         {"known", basis.known},
+         {"answered", basis.answered},
+         {"paused", basis.paused},
+         {"farthest_paused", to_string(basis.farthest_paused)},
+         {"oldest_status_ms", to_ms(basis.oldest_status)}});
     service.last_state = state;
 }
 
+void promotion_coordinator::log_order_basis(
+    const std::string& service, const std::string& ordered,
+    const std::vector<failover_member_report>& members)
+{
+    for (const auto& member : members)
+    {
+        const auto status = member.status.value_or(replication_status{});
+        events_.write(
+            "promotion_basis", {{"service", service},
+                                {"ordered", ordered},
+                                {"instance", member.instance},
+                                {"answered", member.status.has_value()},
+                                {"primary", status.primary},
+                                {"term", status.term},
+                                {"received", to_string(status.received)},
+                                {"paused_term", status.paused_term},
+                                {"status_age_ms", to_ms(member.status_age)},
+                                {"registered", member.registered},
+                                {"leaving", member.leaving},
+                                {"exited", member.has_exited}});
+    }
+}
+
 void promotion_coordinator::log_replication(
     const std::string& service, const std::string& instance,
     member_control& control, const replication_status& status)
@@ -328,7 +346,7 @@
         {{"service", service},
          {"instance", instance},
          {"term", status.paused_term},
-         {"received", to_text(status.received)}});
+         {"received", to_string(status.received)}});
 }
 
 promotion_coordinator::service_state&
@@ -568,6 +586,7 @@
         co_return;
     }
     const auto basis = planner.summary(now);
+    log_order_basis(service, value.instance, planner.member_reports(now));
     ++orders_sent_;
     const auto answer = co_await platform_.promote(
         service, value.instance, settings_.host, *token);
@@ -580,11 +599,11 @@
          {"token", *token},
          {"outcome", static_cast<int>(outcome)},
          {"error", code == errc{} ? "" : to_string(code)},
-         {"position", to_text(basis.candidate_position)},
+         {"position", to_string(basis.candidate_position)},
          {"known", basis.known},
          {"answered", basis.answered},
          {"paused", basis.paused},
-         {"farthest_paused", to_text(basis.farthest_paused)},
+         {"farthest_paused", to_string(basis.farthest_paused)},
          {"oldest_status_ms", to_ms(basis.oldest_status)}});
     const auto found = services_.find(service);
     if (found != services_.end() && epoch == lease_.epoch())
--- a/src/coordination/promotion_coordinator.hpp
+++ b/src/coordination/promotion_coordinator.hpp
@@ -139,6 +139,10 @@
     awaitable<void> run_planner();
     void log_state_change(
         const std::string& name, service_state& service, time_point now);
+    /// Logs the members on whose statuses an order is based.
+    void log_order_basis(
+        const std::string& service, const std::string& ordered,
+        const std::vector<failover_member_report>& members);
     /// Logs that a member has paused or resumed replication.
     void log_replication(
         const std::string& service, const std::string& instance,
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -47,6 +47,24 @@
     return result;
 }
 
+std::vector<failover_member_report>
+failover_planner::member_reports(time_point now) const
+{
+    std::vector<failover_member_report> reports;
+    reports.reserve(members_.size());
+    for (const auto& [instance, member] : members_)
+    {
+        reports.push_back(
+            {.instance = instance,
+             .status = member.status,
+             .status_age = member.status ? now - member.queried_at : duration{},
+             .registered = member.definition.registered,
+             .leaving = member.definition.leaving,
+             .has_exited = has_shut_down(member)});
+    }
+    return reports;
+}
+
 void failover_planner::reset()
 {
     members_.clear();
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -430,6 +430,7 @@
             lease->instance(), sent_at, answer->position);
         if (is_write)
         {
+            trace_.committed = answer->position;
             advance_position(answer->position);
         }
     }
--- a/src/pooling/client_transaction.cpp
+++ b/src/pooling/client_transaction.cpp
@@ -195,6 +195,7 @@
     }
     if (answer->ok() && is_commit && transaction_wrote_)
     {
+        trace_.committed = answer->position;
         advance_position(answer->position);
         if (!co_await gateway.still_leads(trace_.instance))
         {
--- a/src/pooling/reply_recorder.cpp
+++ b/src/pooling/reply_recorder.cpp
@@ -70,6 +70,10 @@
                 verdict_of(answer.code), trace.failure_code, trace.on_replica,
                 latency);
     }
+    if (trace.committed)
+    {
+        record_commit(value, answer, trace);
+    }
     const bool late = origin.where && latency > origin.where->target_latency;
     const auto event = event_of(answer, trace, late);
     if (event.empty())
@@ -97,4 +101,14 @@
          {"text", answer.text}});
 }
 
+void reply_recorder::record_commit(
+    const statement& value, const reply& answer, const operation_trace& trace)
+{
+    events_.write(
+        "commit_acknowledged", {{"id", value.id},
+                                {"instance", trace.instance},
+                                {"position", to_string(*trace.committed)},
+                                {"passed_on", answer.ok()}});
+}
+
 } // namespace zinniahub::pooling
--- a/src/pooling/reply_recorder.hpp
+++ b/src/pooling/reply_recorder.hpp
@@ -5,6 +5,7 @@
 #include "pooling/messages.hpp"
 
 #include <zinniahub/error.hpp>
+#include <zinniahub/log_position.hpp>
 #include <zinniahub/proxy_configuration.hpp>
 #include <zinniahub/time.hpp>
 
@@ -29,6 +30,8 @@
     /// Answer of the member to the last attempt.
     reply_code member_code = reply_code::none;
     unsigned attempts = 0;
+    /// Position of the member's log after a commit that it acknowledged.
+    std::optional<log_position> committed;
     errc failure_code = errc::request_invalid;
 };
 
@@ -58,6 +61,10 @@
         const operation_trace& trace, const operation_origin& origin);
 
 private:
+    /// Logs a commit that the member acknowledged.
+    void record_commit(
+        const statement& value, const reply& answer,
+        const operation_trace& trace);
     /// Name of the log line of a reply; empty if the reply is not logged.
     std::string_view
     event_of(const reply& answer, const operation_trace& trace, bool late);
