Ask the hosts what clients were told before a promotion is ordered

Cause: the holder of the promotion duty inferred from the statuses of the members what clients may have been told. Statuses are older than the acknowledgements, and the set of members is never quite known: a replica that acknowledged a commit after its last status exits, or one that has just joined acknowledges it before it is known or paused. Class: a decision about a promise is taken from indirect and older knowledge than that of those who gave it.

Change: every acknowledgement reaches its client through a host. Before an order the holder asks all hosts for the highest position that they have passed on, and each promises to pass on no further one that the candidate has not received (acknowledgement_hold, acknowledgement_survey). The order goes only to a member that has that position; if none has, the planner waits for the old primary, and for a leaving member that has it, up to a limit. A host that does not answer delays the order by 0.25 s, and by 0.5 s after the order is in the record, from which such a host learns of it. If a host does not answer or has just started, the order also waits while the old primary, or a member that has exited, may hold commits that the candidate lacks. A primary whose own order may be carried out again is not told to step down. Acknowledgements of replaced primaries are never passed on.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <zinniahub/acknowledgement_survey.hpp>
 #include <zinniahub/log_position.hpp>
 #include <zinniahub/primary_proof.hpp>
 #include <zinniahub/time.hpp>
@@ -75,6 +76,13 @@
     bool through_hosts = false;
 };
 
+/// Request hosts to hold acknowledgements, or to end the hold.
+struct hold_acknowledgements
+{
+    hold_request request;
+    std::vector<std::string> hosts;
+};
+
 /// Request the platform to promote a member, with a fencing token greater than
 /// those of all orders that named another member.
 struct order_promotion
@@ -99,6 +107,12 @@
     log_position farthest_paused;
     /// Age of the oldest valid status, counted from its query.
     duration oldest_status{};
+    /// Hosts, and those that have promised to hold acknowledgements.
+    std::size_t hosts = 0;
+    std::size_t promised = 0;
+    /// Highest position that clients have seen acknowledged, as far as hosts
+    /// have answered.
+    log_position acknowledged;
 };
 
 /// @brief What the planner knows about one member, for logs.
@@ -118,7 +132,7 @@
 using failover_step = std::variant<
     failover_action::query, failover_action::pause_replication,
     failover_action::resume_replication, failover_action::step_down,
-    failover_action::order_promotion>;
+    failover_action::hold_acknowledgements, failover_action::order_promotion>;
 
 enum class promotion_result
 {
@@ -152,6 +166,15 @@
 /// it then replaces a primary that it has never seen only after all others that
 /// it knows have answered for some time and none is the primary.
 ///
+/// Statuses are always older than the acknowledgements, and the set of members
+/// is never quite known. The hosts know what clients were told, so before an
+/// order they are asked for it, and hold further acknowledgements that the
+/// candidate's log might lack (`acknowledgement_hold`). The order goes only to
+/// a member that has everything that was passed on. If none has, the planner
+/// waits for the old primary, up to a limit. If a host does not answer, what it
+/// has passed on is not known: the order then also waits while a member that
+/// has exited, or the old primary, may hold commits that the candidate lacks.
+///
 /// An order that may have been accepted is pending until its member leads, has
 /// exited, or a time limit has passed. Neither a fencing token nor an order for
 /// another member recalls it: it takes effect with the log that the member then
@@ -200,9 +223,29 @@
         /// As `promotion_limit`, for an order without a reply, counted from the
         /// time at which the reply was given up.
         duration late_order_limit = std::chrono::seconds(10);
+        /// Time within which an order without a reply may take effect after
+        /// all, counted like `late_order_limit`. Between the two, the primary
+        /// goes on and hosts hold acknowledgements while the member of the
+        /// order answers.
+        duration arrival_limit = std::chrono::seconds(13);
         /// Longest delay of an order until a primary that only other hosts
         /// reach has stepped down.
         duration step_down_limit = std::chrono::milliseconds(1000);
+        /// Time before `order_delay` at which the hosts are asked to hold
+        /// acknowledgements, while the primary responds.
+        duration hold_lead = std::chrono::milliseconds(100);
+        /// Longest delay of an order until all hosts have promised to hold
+        /// acknowledgements.
+        duration promise_limit = std::chrono::milliseconds(250);
+        /// Time after the record of an order after which a host that has not
+        /// promised knows the order from the record.
+        duration record_propagation = std::chrono::milliseconds(500);
+        /// Longest delay of an order until a member is back that may hold
+        /// acknowledged commits which the candidate lacks.
+        duration missing_commits_limit = std::chrono::seconds(10);
+        /// As `missing_commits_limit`, while the old primary answers now and
+        /// then.
+        duration total_wait_limit = std::chrono::seconds(60);
         /// The platform rejects an order whose fencing token is lower than one
         /// it has seen, and a replaced primary stops leading at once.
         bool tokens_checked = true;
@@ -222,6 +265,19 @@
     /// member, according to the durable record. Call after `on_record`.
     void on_recorded_order(std::string_view instance, time_point now);
 
+    /// @brief Sets the hosts that may pass acknowledgements on to clients.
+    /// Without hosts, the planner relies on the statuses of the members alone.
+    void on_hosts(const std::vector<std::string>& hosts)
+    {
+        survey_.set_hosts(hosts);
+    }
+
+    /// @brief A host answered `failover_action::hold_acknowledgements`.
+    void on_hold_answer(const hold_answer& answer, time_point now)
+    {
+        survey_.on_answer(answer, now);
+    }
+
     /// @param members the whole group, including members that are registered
     /// no longer
     /// @param sync_replicas number of replicas that must receive a commit
@@ -254,6 +310,10 @@
     /// Call again before it is sent, after a call of the store.
     bool is_order_justified(std::string_view instance, time_point now) const;
 
+    /// @brief Time for which an order waits after it was recorded, so that
+    /// hosts which have not promised learn of it from the record.
+    duration record_delay() const;
+
     /// @brief Member whose promotion was ordered and may still take effect;
     /// empty if there is none.
     std::string_view pending_order(time_point now) const;
@@ -263,7 +323,8 @@
 
     /// @brief Clears all state. Call when the promotion duty is acquired or
     /// lost.
-    void reset();
+    /// @param duty greater for each holder of the duty than for those before
+    void reset(std::uint64_t duty = 0);
 
     /// @brief Member that was last known to be the primary from its own status;
     /// empty if there is none.
@@ -333,6 +394,32 @@
     /// True if the candidate has every commit that only members which have
     /// exited may have had.
     bool covers_ended_members(const member_state& candidate) const;
+    /// True if the candidate has every commit that clients may have seen
+    /// acknowledged, as far as can be known in time.
+    bool has_acknowledged_commits(
+        const member_state& candidate, time_point now) const;
+    /// As `covers_ended_members`, without a guess at what a member received
+    /// after its last status.
+    bool
+    covers_unknown_commits(const member_state& candidate, time_point now) const;
+    /// True if the member has everything that clients have seen acknowledged,
+    /// or if the order no longer waits for it.
+    bool
+    has_passed_on_commits(const member_state& member, time_point now) const;
+    /// True if another member has commits that clients have seen acknowledged
+    /// and that the candidate lacks.
+    bool lacks_passed_on_commits(
+        const member_state& candidate, time_point now) const;
+    /// True for a member that may be promoted although it is leaving, because
+    /// clients have seen commits that no other one has.
+    bool
+    may_lead_while_leaving(const member_state& member, time_point now) const;
+    /// True if the order may wait for a member that is not available.
+    bool may_wait_for_commits(time_point now) const;
+    /// Member that an order may promote: the candidate of a failover, or the
+    /// member of an order that is not settled; empty if there is none.
+    std::string_view member_to_hold_for(time_point now) const;
+    void update_hold(std::vector<failover_step>& steps, time_point now);
     void update_incomplete_group(time_point now);
     bool no_member_is_primary(time_point now) const;
     /// Highest term of the members, without those of pauses.
@@ -390,6 +477,9 @@
     bool awaits_order(time_point now) const;
     /// True while an order of another member may still take effect.
     bool awaits_other_order(std::string_view instance, time_point now) const;
+    /// True for a member that leads by an order which may be carried out again.
+    /// That changes nothing until the member steps down.
+    bool may_be_promoted_again(std::string_view instance, time_point now) const;
     /// The member of the order leads.
     void on_order_executed();
     void clear_order();
@@ -419,6 +509,7 @@
     };
 
     settings settings_;
+    acknowledgement_survey survey_;
     member_map members_;
     std::uint32_t sync_replicas_ = 1;
     phase phase_ = phase::steady;
@@ -462,8 +553,15 @@
     /// effect.
     std::string ordered_;
     time_point order_pending_until_ = time_point::min();
+    /// Member of the last order without a reply, and the time until which it
+    /// may take effect.
+    std::string unanswered_order_;
+    time_point unanswered_order_until_ = time_point::min();
     /// The member leads, but another order for it may be carried out later.
     bool order_took_effect_ = false;
+    /// Members that lead by an order without a reply, and the time until which
+    /// a repetition of it may be carried out.
+    std::map<std::string, time_point, std::less<>> repeatable_orders_;
     /// True if `ordered_` is known only from the record.
     bool order_from_record_ = false;
     /// Time since which all replicas are paused, including the candidate.
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -66,13 +66,14 @@
 promotion_coordinator::promotion_coordinator(
     asio::io_context& io, store& target, promotion_api& platform,
     pooling::member_connector& connector, member_relay& relay,
-    const upstream_directory& directory, settings values,
+    hold_channel& holds, const upstream_directory& directory, settings values,
     log::event_log& events)
     : io_(io)
     , store_(target)
     , platform_(platform)
     , connector_(connector)
     , relay_(relay)
+    , holds_(holds)
     , directory_(directory)
     , settings_(std::move(values))
     , events_(events)
@@ -82,6 +83,9 @@
             const relayed_command& value, const replication_status& status,
             time_point asked_at)
         { on_relayed_status(value, status, asked_at); });
+    holds_.set_handler(
+        [this](std::string_view service, const hold_answer& answer)
+        { on_hold_answer(service, answer); });
 }
 
 promotion_coordinator::~promotion_coordinator() = default;
@@ -182,6 +186,7 @@
     lease_id_ = lease->id;
     lease_.on_granted(sent_at, lease->ttl);
     revision_ = *written;
+    duty_revision_ = *written;
     leader_ = settings_.host;
     services_.clear();
     groups_loaded_ = false;
@@ -263,6 +268,7 @@
         {
             continue;
         }
+        update_hosts();
         for (const auto& [name, definition] : configuration_->services)
         {
             plan_service(definition, state_of(name), now);
@@ -270,6 +276,20 @@
     }
 }
 
+void promotion_coordinator::update_hosts()
+{
+    auto hosts = holds_.hosts();
+    if (hosts == hosts_)
+    {
+        return;
+    }
+    hosts_ = std::move(hosts);
+    for (auto& [name, service] : services_)
+    {
+        service.planner.on_hosts(hosts_);
+    }
+}
+
 void promotion_coordinator::plan_service(
     const service_definition& definition, service_state& service,
     time_point now)
@@ -354,7 +374,13 @@
 {
     failover_planner::settings values;
     values.tokens_checked = settings_.tokens_checked;
-    return services_.try_emplace(service, values).first->second;
+    const auto [found, is_new] = services_.try_emplace(service, values);
+    if (is_new)
+    {
+        found->second.planner.reset(duty_revision_);
+        found->second.planner.on_hosts(hosts_);
+    }
+    return found->second;
 }
 
 promotion_coordinator::member_control&
@@ -378,6 +404,12 @@
         asio::co_spawn(io_, send_order(name, *value), asio::detached);
         return;
     }
+    if (const auto* value =
+            std::get_if<failover_action::hold_acknowledgements>(&step))
+    {
+        holds_.send(name, value->request, value->hosts);
+        return;
+    }
     pooling::command command{.kind = pooling::command_kind::status};
     std::string instance;
     bool through_hosts = false;
@@ -454,6 +486,17 @@
     found->second.planner.on_relayed_status(value.instance, status, asked_at);
 }
 
+void promotion_coordinator::on_hold_answer(
+    std::string_view service, const hold_answer& answer)
+{
+    const auto found = services_.find(service);
+    const auto now = clock::now();
+    if (found != services_.end() && is_leader(now))
+    {
+        found->second.planner.on_hold_answer(answer, now);
+    }
+}
+
 awaitable<void> promotion_coordinator::run_on_member(
     std::string service, std::string instance, pooling::command value)
 {
@@ -552,6 +595,19 @@
     co_return written;
 }
 
+awaitable<void>
+promotion_coordinator::wait_for_hosts(const std::string& service)
+{
+    const auto delay = state_of(service).planner.record_delay();
+    if (delay == duration::zero())
+    {
+        co_return;
+    }
+    asio::steady_timer timer(io_);
+    timer.expires_after(delay);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
 awaitable<void> promotion_coordinator::send_order(
     std::string service, failover_action::order_promotion value)
 {
@@ -563,6 +619,14 @@
     }
     result<std::uint64_t> token = fail(errc::platform_unavailable);
     if (recorded)
+    {
+        co_await wait_for_hosts(service);
+    }
+    if (epoch != lease_.epoch())
+    {
+        co_return;
+    }
+    if (recorded)
     {
         token = co_await fencing_token_for(state_of(service), value.instance);
     }
@@ -604,7 +668,10 @@
          {"answered", basis.answered},
          {"paused", basis.paused},
          {"farthest_paused", to_string(basis.farthest_paused)},
-         {"oldest_status_ms", to_ms(basis.oldest_status)}});
+         {"oldest_status_ms", to_ms(basis.oldest_status)},
+         {"hosts", basis.hosts},
+         {"promised", basis.promised},
+         {"acknowledged", to_string(basis.acknowledged)}});
     const auto found = services_.find(service);
     if (found != services_.end() && epoch == lease_.epoch())
     {
--- a/src/coordination/promotion_coordinator.hpp
+++ b/src/coordination/promotion_coordinator.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/hold_channel.hpp"
 #include "coordination/member_relay.hpp"
 #include "coordination/store.hpp"
 #include "observability/event_log.hpp"
@@ -58,8 +59,8 @@
     promotion_coordinator(
         boost::asio::io_context& io, store& target, promotion_api& platform,
         pooling::member_connector& connector, member_relay& relay,
-        const upstream_directory& directory, settings values,
-        log::event_log& events);
+        hold_channel& holds, const upstream_directory& directory,
+        settings values, log::event_log& events);
     ~promotion_coordinator();
 
     void start();
@@ -153,6 +154,12 @@
     void execute_step(
         const std::string& name, service_state& service,
         const failover_step& step);
+    void on_hold_answer(std::string_view service, const hold_answer& answer);
+    /// Gives the planners the hosts, if these have changed.
+    void update_hosts();
+    /// Waits until hosts that have not promised to hold acknowledgements know
+    /// the order from its record.
+    awaitable<void> wait_for_hosts(const std::string& service);
     void on_relayed_status(
         const relayed_command& value, const replication_status& status,
         time_point asked_at);
@@ -172,6 +179,7 @@
     promotion_api& platform_;
     pooling::member_connector& connector_;
     member_relay& relay_;
+    hold_channel& holds_;
     const upstream_directory& directory_;
     settings settings_;
     log::event_log& events_;
@@ -179,6 +187,10 @@
     std::map<std::string, service_state, std::less<>> services_;
     lease_clock lease_;
     std::uint64_t lease_id_ = 0;
+    /// Revision under which the duty was taken.
+    std::uint64_t duty_revision_ = 0;
+    /// Hosts that the planners know.
+    std::vector<std::string> hosts_;
     /// Holder and revision of the key, as last read from the store.
     std::string leader_;
     std::uint64_t revision_ = 0;
--- /dev/null
+++ b/src/lib/failover_acknowledgements.cpp
@@ -0,0 +1,158 @@
+#include <zinniahub/failover_planner.hpp>
+
+#include <algorithm>
+
+// What the failover planner knows of the commits that clients have seen
+// acknowledged.
+
+namespace zinniahub
+{
+
+std::string_view failover_planner::member_to_hold_for(time_point now) const
+{
+    if (phase_ == phase::changing)
+    {
+        return candidate_;
+    }
+    if (awaits_order(now))
+    {
+        return ordered_;
+    }
+    const auto found = members_.find(unanswered_order_);
+    const bool may_arrive =
+        found != members_.end() && now < unanswered_order_until_ &&
+        is_fresh(found->second, now) && unanswered_order_ != primary_;
+    return may_arrive ? std::string_view{unanswered_order_}
+                      : std::string_view{};
+}
+
+void failover_planner::update_hold(
+    std::vector<failover_step>& steps, time_point now)
+{
+    const bool early = current_primary(now) != nullptr && !awaits_order(now) &&
+                       now - failover_started_at_ <
+                           settings_.order_delay - settings_.hold_lead;
+    const auto candidate = member_to_hold_for(now);
+    if (candidate.empty() && phase_ != phase::changing)
+    {
+        survey_.release(newest_term(), now);
+    }
+    else if (!candidate.empty() && sync_replicas_ > 0 && !early)
+    {
+        survey_.hold(candidate, newest_term(), now);
+    }
+    auto hosts = survey_.due_hosts(now);
+    if (!hosts.empty())
+    {
+        steps.emplace_back(failover_action::hold_acknowledgements{
+            survey_.request(), std::move(hosts)});
+    }
+}
+
+duration failover_planner::record_delay() const
+{
+    return sync_replicas_ == 0 || survey_.all_promised()
+               ? duration{}
+               : settings_.record_propagation;
+}
+
+// The old primary has all commits, so it is worth waiting for while it answers
+// now and then.
+bool failover_planner::may_wait_for_commits(time_point now) const
+{
+    const auto primary = members_.find(primary_);
+    const auto last_answer =
+        primary == members_.end()
+            ? failover_started_at_
+            : std::max(failover_started_at_, primary->second.queried_at);
+    return phase_ == phase::changing &&
+           now - last_answer < settings_.missing_commits_limit &&
+           now - failover_started_at_ < settings_.total_wait_limit;
+}
+
+bool failover_planner::has_passed_on_commits(
+    const member_state& member, time_point now) const
+{
+    return !may_wait_for_commits(now) ||
+           (member.status && member.status->received >= survey_.acknowledged());
+}
+
+bool failover_planner::lacks_passed_on_commits(
+    const member_state& candidate, time_point now) const
+{
+    return !has_passed_on_commits(candidate, now) &&
+           std::any_of(
+               members_.begin(), members_.end(),
+               [this, now](const auto& entry)
+               {
+                   const auto& member = entry.second;
+                   return is_fresh(member, now) && !has_shut_down(member) &&
+                          !member.definition.leaving &&
+                          has_passed_on_commits(member, now);
+               });
+}
+
+bool failover_planner::may_lead_while_leaving(
+    const member_state& member, time_point now) const
+{
+    return current_primary(now) == nullptr &&
+           survey_.acknowledged() > log_position{} &&
+           has_passed_on_commits(member, now) &&
+           std::none_of(
+               members_.begin(), members_.end(),
+               [this, now](const auto& entry)
+               {
+                   const auto& other = entry.second;
+                   return is_fresh(other, now) && !has_shut_down(other) &&
+                          !other.definition.leaving &&
+                          has_passed_on_commits(other, now);
+               });
+}
+
+bool failover_planner::covers_unknown_commits(
+    const member_state& candidate, time_point now) const
+{
+    const auto primary = members_.find(primary_);
+    const bool behind_primary =
+        primary != members_.end() && &primary->second != &candidate &&
+        is_fresh(primary->second, now) &&
+        primary->second.status->received > candidate.status->received;
+    const bool knows_last_commits = std::all_of(
+        members_.begin(), members_.end(),
+        [this](const auto& entry)
+        {
+            const auto& member = entry.second;
+            const bool later_term =
+                !primary_from_record_ && primary_term_ > member.ended_in_term;
+            return entry.first == primary_ || !member.ended_at || later_term ||
+                   member.needed_position_is_final;
+        });
+    return !behind_primary && knows_last_commits;
+}
+
+bool failover_planner::has_acknowledged_commits(
+    const member_state& candidate, time_point now) const
+{
+    if (!survey_.has_hosts())
+    {
+        return covers_ended_members(candidate);
+    }
+    if (!survey_.is_holding_for(candidate.definition.instance))
+    {
+        return false;
+    }
+    if (!survey_.all_promised() &&
+        now - survey_.since() < settings_.promise_limit)
+    {
+        return false;
+    }
+    if (!has_passed_on_commits(candidate, now))
+    {
+        return false;
+    }
+    return survey_.is_complete() || (covers_ended_members(candidate) &&
+                                     (!may_wait_for_commits(now) ||
+                                      covers_unknown_commits(candidate, now)));
+}
+
+} // namespace zinniahub
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -21,6 +21,9 @@
 {
     failover_summary result;
     result.known = members_.size();
+    result.hosts = survey_.hosts();
+    result.promised = survey_.promised();
+    result.acknowledged = survey_.acknowledged();
     const auto* candidate =
         candidate_.empty() ? choose_candidate(now) : find_candidate(now);
     if (candidate != nullptr)
@@ -65,8 +68,9 @@
     return reports;
 }
 
-void failover_planner::reset()
+void failover_planner::reset(std::uint64_t duty)
 {
+    survey_.reset(duty);
     members_.clear();
     phase_ = phase::steady;
     primary_.clear();
@@ -79,6 +83,8 @@
     order_unknown_ = false;
     promotion_pending_ = false;
     clear_order();
+    repeatable_orders_.clear();
+    unanswered_order_.clear();
     all_paused_since_.reset();
     relayed_instance_.clear();
 }
--- a/src/lib/failover_orders.cpp
+++ b/src/lib/failover_orders.cpp
@@ -11,6 +11,8 @@
     ordered_ = instance;
     order_pending_until_ = now + settings_.late_order_limit;
     order_from_record_ = true;
+    unanswered_order_ = instance;
+    unanswered_order_until_ = now + settings_.arrival_limit;
 }
 
 bool failover_planner::order_is_pending(time_point now) const
@@ -44,20 +46,34 @@
     order_from_record_ = false;
 }
 
-// An order that names the present primary changes nothing. If tokens are not
-// checked, a repetition without a reply may be carried out after the promotion
-// of another member.
+// An order that names the present primary changes nothing. A repetition without
+// a reply may be carried out after the member has stepped down or, if tokens
+// are not checked, after the promotion of another one.
 void failover_planner::on_order_executed()
 {
-    if (settings_.tokens_checked || !order_unknown_)
+    if (!order_unknown_)
     {
         clear_order();
         return;
     }
+    if (settings_.tokens_checked)
+    {
+        repeatable_orders_[ordered_] = unanswered_order_until_;
+        unanswered_order_.clear();
+        clear_order();
+        return;
+    }
     order_took_effect_ = true;
     order_from_record_ = false;
 }
 
+bool failover_planner::may_be_promoted_again(
+    std::string_view instance, time_point now) const
+{
+    const auto found = repeatable_orders_.find(instance);
+    return found != repeatable_orders_.end() && now < found->second;
+}
+
 void failover_planner::clear_order_of_exited_member()
 {
     const auto found = members_.find(ordered_);
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -45,6 +45,11 @@
         unknown ? settings_.late_order_limit : settings_.promotion_limit;
     order_pending_until_ = std::max(order_pending_until_, now + limit);
     next_promotion_ = now + settings_.promotion_retry_interval;
+    if (unknown)
+    {
+        unanswered_order_ = ordered_;
+        unanswered_order_until_ = now + settings_.arrival_limit;
+    }
 }
 
 void failover_planner::query_members(
@@ -183,15 +188,17 @@
            !is_paused(*candidate) && covers_ended_members(*candidate);
 }
 
-// Replicas that receive come before paused ones while the primary responds, and
-// a former primary comes last.
+// Members that have every commit which clients have seen acknowledged come
+// first. Replicas that receive come before paused ones while the primary
+// responds, and a former primary comes last.
 const failover_planner::member_state*
 failover_planner::choose_candidate(time_point now) const
 {
     const bool primary_responds = current_primary(now) != nullptr;
-    const auto rank = [this, primary_responds](const member_state& member)
+    const auto rank = [this, primary_responds, now](const member_state& member)
     {
         return std::tuple(
+            has_passed_on_commits(member, now), !member.definition.leaving,
             member.definition.instance != primary_,
             !primary_responds || !is_paused(member), member.status->received,
             !is_paused(member));
@@ -200,7 +207,8 @@
     for (const auto& [instance, member] : members_)
     {
         if (!is_fresh(member, now) || has_shut_down(member) ||
-            member.definition.leaving || member.status->primary)
+            member.status->primary ||
+            (member.definition.leaving && !may_lead_while_leaving(member, now)))
         {
             continue;
         }
@@ -233,7 +241,9 @@
     const bool silent =
         member.unresponsive_since &&
         now - *member.unresponsive_since >= settings_.unresponsive_limit;
-    return silent || member.refused_since || member.definition.leaving ||
+    return silent || member.refused_since ||
+           (member.definition.leaving &&
+            !may_lead_while_leaving(member, now)) ||
            has_shut_down(member) || (member.status && member.status->primary);
 }
 
@@ -256,7 +266,8 @@
 {
     const auto* candidate = find_candidate(now);
     const bool behind =
-        candidate != nullptr && a_paused_replica_is_ahead(*candidate);
+        candidate != nullptr && (a_paused_replica_is_ahead(*candidate) ||
+                                 lacks_passed_on_commits(*candidate, now));
     if (!behind)
     {
         candidate_behind_since_.reset();
@@ -411,7 +422,7 @@
            !awaits_other_order(instance, now) &&
            (sync_replicas_ == 0 || (statuses_justify_order(*candidate, now) &&
                                     !a_paused_replica_is_ahead(*candidate) &&
-                                    covers_ended_members(*candidate)));
+                                    has_acknowledged_commits(*candidate, now)));
 }
 
 void failover_planner::start_failover(time_point now)
@@ -447,7 +458,7 @@
 void failover_planner::request_step_down(
     std::vector<failover_step>& steps, bool through_hosts, time_point now)
 {
-    if (now >= next_step_down_)
+    if (now >= next_step_down_ && !may_be_promoted_again(primary_, now))
     {
         next_step_down_ = now + settings_.urgent_interval;
         steps.emplace_back(
@@ -508,7 +519,7 @@
                               primary->definition.leaving ||
                               primary_is_stalled(*primary, now);
     const auto* candidate = update_candidate(primary != nullptr, now);
-    const bool abandoned = !still_needed && !order_is_pending(now);
+    const bool abandoned = !still_needed && !awaits_order(now);
     const bool no_candidate = primary != nullptr && candidate_.empty();
     if (abandoned || no_candidate)
     {
@@ -637,6 +648,7 @@
     {
         resume_replicas(steps, now);
     }
+    update_hold(steps, now);
     return steps;
 }
 
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -22,6 +22,10 @@
 /// comes later leaves the client too little time to try another host.
 constexpr double wait_fraction_busy = 0.22;
 
+/// Part of the limit of a commit that is reserved for the last answer about it
+/// and the reply.
+constexpr duration confirmation_reserve = std::chrono::milliseconds(100);
+
 duration fraction_of(duration whole, double part)
 {
     return std::chrono::duration_cast<duration>(whole * part);
@@ -428,15 +432,11 @@
     {
         gateway.on_primary_confirmed(
             lease->instance(), sent_at, answer->position);
-        if (is_write)
-        {
-            trace_.committed = answer->position;
-            advance_position(answer->position);
-        }
     }
     if (is_write && answer->ok())
     {
-        if (!co_await gateway.still_leads(lease->instance()))
+        lease->reset();
+        if (!co_await confirm_commit(trace_.instance, *answer))
         {
             co_return doubt_commit();
         }
@@ -473,13 +473,28 @@
     return values_.find_prepared(value.name);
 }
 
-void client_session::advance_position(
-    const std::optional<log_position>& position)
+awaitable<bool>
+client_session::confirm_commit(std::string instance, const reply& answer)
 {
-    if (position)
+    trace_.committed = answer.position;
+    auto& gateway = manager_.gateway(route_->service);
+    if (!co_await gateway.still_leads(instance))
+    {
+        co_return false;
+    }
+    if (!answer.position)
     {
-        committed_position_ = std::max(committed_position_, *position);
+        co_return true;
+    }
+    const auto until =
+        trace_.started + route_->statement_timeout - confirmation_reserve;
+    if (!co_await gateway.may_pass_on(
+            std::move(instance), *answer.position, until))
+    {
+        co_return false;
     }
+    committed_position_ = std::max(committed_position_, *answer.position);
+    co_return true;
 }
 
 reply client_session::refuse_unsent(errc failure_code, std::string text)
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -81,7 +81,9 @@
     access_request make_request(const statement& value) const;
     const prepared_statement* find_prepared(const statement& value) const;
     bool writes(const statement& value) const;
-    void advance_position(const std::optional<log_position>& position);
+    /// Decides whether a commit that the member acknowledged may be reported as
+    /// a success.
+    awaitable<bool> confirm_commit(std::string instance, const reply& answer);
     reply refuse(reply_code code, std::string text);
     /// Refuses an operation that was not sent to a member.
     reply refuse_unsent(errc failure_code, std::string text);
@@ -90,7 +92,8 @@
     std::optional<reply> refuse_rejected(const error& failure);
     /// Refuses an operation because no member is proven to be the primary.
     reply refuse_without_proof();
-    /// Reply to a commit that a replaced primary may have acknowledged.
+    /// Reply to a commit that a replaced primary may have acknowledged, or that
+    /// the member to be promoted may lack.
     reply doubt_commit();
     void record_reply(const statement& value, const reply& answer);
 
--- a/src/pooling/client_transaction.cpp
+++ b/src/pooling/client_transaction.cpp
@@ -195,11 +195,9 @@
     }
     if (answer->ok() && is_commit && transaction_wrote_)
     {
-        trace_.committed = answer->position;
-        advance_position(answer->position);
-        if (!co_await gateway.still_leads(trace_.instance))
+        connection_.reset();
+        if (!co_await confirm_commit(trace_.instance, *answer))
         {
-            connection_.reset();
             co_return doubt_commit();
         }
     }
--- a/src/pooling/primary_sampling.cpp
+++ b/src/pooling/primary_sampling.cpp
@@ -37,6 +37,9 @@
 /// leads.
 constexpr duration commit_proof_limit = std::chrono::milliseconds(500);
 
+/// Interval between questions whether a replica has received a commit.
+constexpr duration hold_poll_interval = std::chrono::milliseconds(20);
+
 /// Age of a registration from which the holder of the promotion duty knows the
 /// member and has paused it if needed.
 constexpr duration newcomer_delay = std::chrono::seconds(3);
@@ -422,4 +425,43 @@
     }
 }
 
+awaitable<bool>
+service_gateway::has_received(std::string instance, log_position position)
+{
+    const auto status =
+        co_await control_member(std::move(instance), {command_kind::status});
+    // The log of a member that leads a later term may lack the commit.
+    co_return status && status->received.term == position.term &&
+        status->received >= position;
+}
+
+awaitable<bool> service_gateway::may_pass_on(
+    std::string instance, log_position position, time_point until)
+{
+    asio::steady_timer timer(io_);
+    auto required = hold_.required_member(instance, position, clock::now());
+    while (required)
+    {
+        if (required->empty() || clock::now() >= until)
+        {
+            co_return false;
+        }
+        const bool received = co_await has_received(*required, position);
+        const auto asked = std::move(required);
+        required = hold_.required_member(instance, position, clock::now());
+        if (received && required == asked)
+        {
+            break;
+        }
+        if (required)
+        {
+            timer.expires_after(hold_poll_interval);
+            co_await timer.async_wait(asio::use_awaitable);
+            required = hold_.required_member(instance, position, clock::now());
+        }
+    }
+    hold_.on_passed_on(position);
+    co_return true;
+}
+
 } // namespace zinniahub::pooling
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -7,6 +7,7 @@
 #include "pooling/member_pool.hpp"
 #include "pooling/ports.hpp"
 
+#include <zinniahub/acknowledgement_hold.hpp>
 #include <zinniahub/fair_queue.hpp>
 #include <zinniahub/primary_position_history.hpp>
 #include <zinniahub/primary_proof.hpp>
@@ -122,6 +123,18 @@
     /// commit. Call after the acknowledgement.
     awaitable<bool> still_leads(std::string instance);
 
+    /// @brief Decides whether the acknowledgement of a commit may be passed on
+    /// to the client. Waits while a member that may be promoted has not
+    /// received the commit.
+    /// @param instance member that acknowledged the commit
+    /// @return false if the commit is in doubt
+    awaitable<bool>
+    may_pass_on(std::string instance, log_position position, time_point until);
+    acknowledgement_hold& hold()
+    {
+        return hold_;
+    }
+
     /// @brief Records a position that another host has learnt from the primary.
     /// @param asked_at when that host was asked
     /// @param age of the position when that host answered
@@ -243,6 +256,8 @@
     void update_lag(member_pool& pool, const reply& answer) const;
     awaitable<result<connection_lease>>
     acquire(access_request& request, purpose use, log_position position);
+    /// True if a replica has received a commit.
+    awaitable<bool> has_received(std::string instance, log_position position);
     bool is_congested(time_point now) const;
     awaitable<bool> wait_for_release(
         const access_request& request, purpose use, time_point until);
@@ -285,6 +300,7 @@
     confirmed_primary primary_;
     bool proof_required_ = false;
     primary_proof proof_;
+    acknowledgement_hold hold_;
     /// Term in which `primary_.instance` leads, if its log may end in an
     /// earlier one; 0 if not known.
     std::uint64_t led_term_ = 0;
--- /dev/null
+++ b/tests/unit/unit-acknowledgement_hold.cpp
@@ -0,0 +1,136 @@
+#include <zinniahub/acknowledgement_hold.hpp>
+#include <zinniahub/acknowledgement_survey.hpp>
+
+#include <gtest/gtest.h>
+
+using namespace zinniahub;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point start{std::chrono::hours(1)};
+
+hold_request request(std::uint64_t number, std::string candidate)
+{
+    return {
+        .duty = 1,
+        .number = number,
+        .term = 3,
+        .candidate = std::move(candidate)};
+}
+
+} // namespace
+
+// Guards against acknowledgements that are held although nobody asked.
+TEST(acknowledgement_hold, passes_on_everything_at_first)
+{
+    const acknowledgement_hold hold;
+    EXPECT_FALSE(hold.required_member("i-1", {3, 7}, start));
+}
+
+// Guards against an acknowledgement that is passed on while another member may
+// be promoted, and against a hold that outlasts its end.
+TEST(acknowledgement_hold, asks_for_the_candidate_until_released)
+{
+    acknowledgement_hold hold;
+    hold.on_request(request(1, "i-2"), start);
+    EXPECT_EQ(hold.required_member("i-1", {3, 7}, start), "i-2");
+    hold.on_request(request(2, ""), start + 1s);
+    EXPECT_FALSE(hold.required_member("i-1", {3, 7}, start + 1s));
+}
+
+// Guards against writes that are in doubt for good after the holder has died.
+TEST(acknowledgement_hold, ends_at_its_limit)
+{
+    acknowledgement_hold hold;
+    hold.on_request(request(1, "i-2"), start);
+    EXPECT_TRUE(hold.required_member(
+        "i-1", {3, 7}, start + acknowledgement_hold::limit - 1ms));
+    EXPECT_FALSE(hold.required_member(
+        "i-1", {3, 7}, start + acknowledgement_hold::limit));
+}
+
+// Guards against the promoted member being asked about its own commits, and
+// against commits of a third member that the candidate will roll back.
+TEST(acknowledgement_hold, leaves_out_what_the_candidate_acknowledges)
+{
+    acknowledgement_hold hold;
+    hold.on_request(request(1, "i-2"), start);
+    EXPECT_FALSE(hold.required_member("i-2", {4, 9}, start));
+    EXPECT_EQ(hold.required_member("i-3", {4, 9}, start), "i-2");
+}
+
+// Guards against an acknowledgement of a replaced primary that comes late.
+TEST(acknowledgement_hold, never_passes_on_commits_of_an_earlier_term)
+{
+    acknowledgement_hold hold;
+    hold.on_request(request(1, ""), start);
+    EXPECT_EQ(hold.required_member("i-1", {2, 7}, start + 1h), "");
+}
+
+// Guards against a request of an earlier holder that arrives late.
+TEST(acknowledgement_hold, ignores_outdated_requests)
+{
+    acknowledgement_hold hold;
+    hold.on_request(request(2, "i-2"), start);
+    EXPECT_FALSE(hold.on_request(request(1, ""), start));
+    EXPECT_EQ(hold.required_member("i-1", {3, 7}, start), "i-2");
+}
+
+// Guards against a host that passes on acknowledgements while an order may take
+// effect, because no holder reaches the host.
+TEST(acknowledgement_hold, learns_of_an_order_from_the_record)
+{
+    acknowledgement_hold hold;
+    hold.on_request(request(1, ""), start);
+    hold.on_record("i-2", 3, start + 1s);
+    EXPECT_EQ(hold.required_member("i-1", {3, 7}, start + 1s), "i-2");
+    hold.on_record("", 4, start + 2s);
+    EXPECT_FALSE(hold.required_member("i-2", {4, 9}, start + 2s));
+    EXPECT_EQ(hold.required_member("i-1", {3, 7}, start + 2s), "");
+}
+
+// Guards against a survey that counts promises for another candidate.
+TEST(acknowledgement_survey, needs_a_new_promise_for_another_candidate)
+{
+    acknowledgement_survey survey;
+    survey.set_hosts({"h1"});
+    survey.hold("i-2", 3, start);
+    survey.on_answer({"h1", 0, 1, {3, 7}, 1h}, start);
+    EXPECT_TRUE(survey.all_promised());
+    EXPECT_EQ(survey.acknowledged(), (log_position{3, 7}));
+    survey.hold("i-3", 3, start + 1s);
+    EXPECT_FALSE(survey.all_promised());
+}
+
+// Guards against an answer of a host that has forgotten what it passed on.
+TEST(
+    acknowledgement_survey, host_that_has_just_started_does_not_know_everything)
+{
+    acknowledgement_survey survey;
+    survey.set_hosts({"h1"});
+    survey.hold("i-2", 3, start);
+    survey.on_answer({"h1", 0, 1, {}, 1s}, start);
+    EXPECT_TRUE(survey.all_promised());
+    EXPECT_FALSE(survey.is_complete());
+}
+
+// Guards against messages that go on for ever, and against a host that restarts
+// and is not asked again.
+TEST(acknowledgement_survey, repeats_requests_until_they_have_ended)
+{
+    acknowledgement_survey survey;
+    survey.set_hosts({"h1", "h2"});
+    survey.hold("i-2", 3, start);
+    EXPECT_EQ(survey.due_hosts(start).size(), 2U);
+    EXPECT_TRUE(survey.due_hosts(start + 10ms).empty());
+    survey.on_answer({"h1", 0, 1, {3, 7}, 1h}, start + 10ms);
+    EXPECT_EQ(survey.due_hosts(start + 100ms).size(), 2U);
+    EXPECT_EQ(survey.due_hosts(start + 200ms), std::vector<std::string>{"h2"});
+    survey.release(3, start + 300ms);
+    EXPECT_EQ(survey.due_hosts(start + 300ms).size(), 2U);
+    EXPECT_TRUE(
+        survey.due_hosts(start + 300ms + acknowledgement_survey::release_limit)
+            .empty());
+}
--- a/tests/unit/unit-failover_membership.cpp
+++ b/tests/unit/unit-failover_membership.cpp
@@ -1,8 +1,10 @@
 #include "unit/changing_group_model.hpp"
+#include "unit/service_model.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+using namespace zinniahub;
 using namespace std::chrono_literals;
 
 // Guards against the promotion of a member that lacks a commit which a client
@@ -18,3 +20,153 @@
             RC_ASSERT(model.outcome().lost == "");
         }));
 }
+
+namespace
+{
+
+/// Service whose clients write through one host.
+class failover_acknowledgements : public testing::Test
+{
+protected:
+    failover_acknowledgements()
+    {
+        model.add_host();
+        model.run(1s);
+    }
+
+    service_model::service model;
+};
+
+} // namespace
+
+// Guards against the loss of a commit that only a replica which has just joined
+// and the crashed primary have.
+TEST_F(failover_acknowledgements, order_waits_for_a_member_that_is_not_known)
+{
+    model.members_["d"].received = model.members_["a"].received;
+    model.unknown_ = {"d"};
+    model.not_replicating_ = {"b", "c"};
+    model.commit();
+    model.members_["a"].running = false;
+    model.run(5s);
+    EXPECT_EQ(model.orders_, 0U);
+    model.unknown_.clear();
+    model.update_planner();
+    model.run(2s);
+    EXPECT_EQ(model.primary_name(), "d");
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against the loss of a commit that a leaving replica received after its
+// last status, when the replica exits and the primary crashes.
+TEST_F(
+    failover_acknowledgements, order_waits_for_the_primary_of_an_exited_replica)
+{
+    model.leaving_ = {"c"};
+    model.not_replicating_ = {"b"};
+    model.update_planner();
+    model.run(600ms);
+    model.commit();
+    model.members_["c"].running = false;
+    model.shutting_down_ = {"c"};
+    model.members_["a"].running = false;
+    model.update_planner();
+    model.run(5s);
+    EXPECT_EQ(model.orders_, 0U);
+    model.members_["a"].running = true;
+    model.not_replicating_.clear();
+    model.run(1s);
+    model.members_["a"].running = false;
+    model.run(2s);
+    EXPECT_EQ(model.primary_name(), "b");
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against the loss of commits that a replica which joins after the order
+// lets the primary acknowledge.
+TEST_F(failover_acknowledgements, commits_after_the_order_need_the_candidate)
+{
+    model.promotion_time_ = 1s;
+    model.leaving_ = {"a"};
+    model.update_planner();
+    ASSERT_TRUE(model.run_until_accepted());
+    const auto before = model.acknowledged_;
+    const auto ordered = model.accepted_.front().instance;
+    model.not_replicating_ = {ordered};
+    model.members_["d"].received = model.members_["a"].received;
+    model.unknown_ = {"d"};
+    model.commit();
+    EXPECT_EQ(model.acknowledged_, before);
+    model.run(2s);
+    EXPECT_EQ(model.primary_name(), ordered);
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against a planned change during which writes wait although the
+// candidate receives them.
+TEST_F(failover_acknowledgements, commits_that_the_candidate_has_are_passed_on)
+{
+    model.promotion_time_ = 1s;
+    model.leaving_ = {"a"};
+    model.update_planner();
+    ASSERT_TRUE(model.run_until_accepted());
+    const auto before = model.acknowledged_;
+    model.commit();
+    EXPECT_GT(model.acknowledged_, before);
+}
+
+// Guards against a service without a primary because one host does not answer.
+TEST_F(failover_acknowledgements, order_waits_shortly_for_a_silent_host)
+{
+    model.host_answers_ = false;
+    model.members_["a"].running = false;
+    const auto crashed_at = model.now_;
+    while (model.orders_ == 0 && model.now_ < crashed_at + 10s)
+    {
+        model.tick(50ms, false);
+    }
+    const failover_planner::settings values;
+    EXPECT_LE(
+        model.now_ - crashed_at,
+        values.refusal_limit + values.promise_limit + 200ms);
+    EXPECT_GT(model.planner_.record_delay(), 0s);
+}
+
+// Guards against a service without a primary for good, if no member that is
+// left has a commit which clients saw acknowledged.
+TEST_F(failover_acknowledgements, order_waits_for_missing_commits_up_to_a_limit)
+{
+    model.not_replicating_ = {"b"};
+    model.leaving_ = {"c"};
+    model.update_planner();
+    model.commit();
+    model.members_["c"].running = false;
+    model.shutting_down_ = {"c"};
+    model.members_["a"].running = false;
+    model.update_planner();
+    const failover_planner::settings values;
+    model.run(values.missing_commits_limit + 2s);
+    EXPECT_EQ(model.primary_name(), "b");
+}
+
+// Guards against a hold that stays after a failover was given up: writes would
+// be in doubt while its candidate is down.
+TEST_F(failover_acknowledgements, hold_ends_when_the_primary_is_back)
+{
+    model.members_["a"].unreachable = true;
+    model.unreachable_through_hosts_ = {"a"};
+    while (model.hold_.requested_candidate().empty())
+    {
+        model.members_["b"].unreachable = true;
+        model.members_["c"].unreachable =
+            model.now_ > service_model::start + 3s;
+        ASSERT_LT(model.now_, service_model::start + 10s);
+        model.tick(50ms, false);
+    }
+    for (auto& [name, state] : model.members_)
+    {
+        state.unreachable = false;
+    }
+    model.run(2s);
+    EXPECT_EQ(model.hold_.requested_candidate(), "");
+}
--- a/tests/unit/unit-record_fuzz.cpp
+++ b/tests/unit/unit-record_fuzz.cpp
@@ -1,5 +1,6 @@
 #include "coordination/bounded_json.hpp"
 #include "coordination/datagram_transport.hpp"
+#include "coordination/hold_channel.hpp"
 #include "coordination/host_registry.hpp"
 #include "coordination/member_relay.hpp"
 #include "coordination/peer_position_exchange.hpp"
@@ -269,6 +270,10 @@
         io_, network_, hosts_,
         [](std::string_view) -> pooling::service_gateway* { return nullptr; },
         events_};
+    datagram_hold_channel holds_{
+        network_, hosts_,
+        [](std::string_view) -> pooling::service_gateway* { return nullptr; },
+        events_};
     relay_offers offers_{io_, network_, hosts_, "n1", paths_};
     rate_limiter rates_{io_, store_, network_, hosts_, "n1", {}, events_};
 };
