--- a/include/zinniahub/acknowledgement_hold.hpp
+++ b/include/zinniahub/acknowledgement_hold.hpp
@@ -53,7 +53,7 @@
 /// on no further one unless the candidate's log holds it. The hold ends when
 /// the holder ends it, or after `limit`. It leaves out what the candidate
 /// acknowledges itself once it leads. An acknowledgement of a term before the
-/// newest known one is never passed on.
+/// newest known one is not passed on, for `limit` after that became known.
 ///
 /// A host that no holder reaches learns of an order from the durable record of
 /// the replication group, which is written before the order is sent. What it
@@ -73,7 +73,7 @@
         {
             return false;
         }
-        term_ = std::max(term_, request.term);
+        on_term(request.term, now);
         request_ = std::move(request);
         requested_at_ = now;
         return true;
@@ -86,7 +86,7 @@
     void
     on_record(std::string_view candidate, std::uint64_t term, time_point now)
     {
-        term_ = std::max(term_, term);
+        on_term(term, now);
         if (candidate != recorded_candidate_)
         {
             recorded_candidate_ = candidate;
@@ -101,7 +101,7 @@
     std::optional<std::string> required_member(
         std::string_view primary, log_position position, time_point now) const
     {
-        if (position.term < term_)
+        if (position.term < term_ && now < term_since_ + limit)
         {
             return std::string();
         }
@@ -110,9 +110,7 @@
         const auto& candidate =
             by_record ? recorded_candidate_ : request_.candidate;
         const auto since = by_record ? recorded_at_ : requested_at_;
-        const bool candidate_leads =
-            primary == candidate && position.term > term_;
-        if (candidate.empty() || candidate_leads || now >= since + limit)
+        if (candidate.empty() || primary == candidate || now >= since + limit)
         {
             return std::nullopt;
         }
@@ -138,12 +136,22 @@
     }
 
 private:
+    void on_term(std::uint64_t term, time_point now)
+    {
+        if (term > term_)
+        {
+            term_ = term;
+            term_since_ = now;
+        }
+    }
+
     hold_request request_;
     time_point requested_at_ = time_point() - limit;
     std::string recorded_candidate_;
     time_point recorded_at_ = time_point() - limit;
     /// Newest term that is known from requests and records.
     std::uint64_t term_ = 0;
+    time_point term_since_ = time_point() - limit;
     log_position acknowledged_;
 };
 
--- a/include/zinniahub/acknowledgement_survey.hpp
+++ b/include/zinniahub/acknowledgement_survey.hpp
@@ -18,14 +18,13 @@
 public:
     /// Interval between requests to a host that has not answered.
     static constexpr duration repeat_interval = std::chrono::milliseconds(100);
-    /// Interval between requests to a host that has answered. A host that
-    /// restarts forgets its promise, and takes longer to start.
-    static constexpr duration renew_interval = std::chrono::milliseconds(300);
+    /// Interval between requests to a host that has answered.
+    static constexpr duration renew_interval = std::chrono::milliseconds(150);
+    /// Age of a host's last answer from which it no longer counts. A process
+    /// that restarts forgets its promise, and takes longer to start.
+    static constexpr duration answer_validity = std::chrono::milliseconds(400);
     /// Time for which the end of a hold is repeated.
     static constexpr duration release_limit = std::chrono::seconds(2);
-    /// Uptime before the hold from which on a host's answer also covers what it
-    /// passed on shortly before.
-    static constexpr duration min_uptime = std::chrono::seconds(5);
 
     /// @brief Forgets everything.
     /// @param duty see `hold_request`
@@ -62,10 +61,11 @@
         return since_;
     }
     /// @brief True if every host has promised.
-    bool all_promised() const;
-    /// @brief True if `acknowledged` covers everything that clients have seen:
-    /// all hosts have promised, and have run for long enough.
-    bool is_complete() const;
+    bool all_promised(time_point now) const;
+    /// @brief True if `acknowledged` covers everything that clients have seen
+    /// acknowledged since a point in time: all hosts have promised, and have
+    /// run since before it.
+    bool is_complete_since(time_point since, time_point now) const;
     /// @brief Highest position that clients have seen acknowledged, as far as
     /// hosts have answered.
     log_position acknowledged() const
@@ -77,21 +77,23 @@
         return hosts_.size();
     }
     /// @brief Number of hosts that have promised.
-    std::size_t promised() const;
+    std::size_t promised(time_point now) const;
 
 private:
     struct host_state
     {
         /// Number of the last request that the host has answered.
         std::uint64_t answered = 0;
-        /// True if the host had run for `min_uptime` when the hold began.
-        bool is_old_enough = false;
+        time_point answered_at = time_point::min();
+        time_point started_at = never;
         time_point next_request = time_point::min();
     };
 
-    bool has_promised(const host_state& host) const
+    bool has_promised(const host_state& host, time_point now) const
     {
-        return host.answered == request_.number;
+        return host.answered == request_.number &&
+               (request_.number == 0 ||
+                now - answer_validity < host.answered_at);
     }
     void start_request(time_point now);
 
--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -6,10 +6,12 @@
 #include <zinniahub/time.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -223,10 +225,8 @@
         /// As `promotion_limit`, for an order without a reply, counted from the
         /// time at which the reply was given up.
         duration late_order_limit = std::chrono::seconds(10);
-        /// Time within which an order without a reply may take effect after
-        /// all, counted like `late_order_limit`. Between the two, the primary
-        /// goes on and hosts hold acknowledgements while the member of the
-        /// order answers.
+        /// As `late_order_limit`, while the member of the order answers: the
+        /// order may still promote it.
         duration arrival_limit = std::chrono::seconds(13);
         /// Longest delay of an order until a primary that only other hosts
         /// reach has stepped down.
@@ -312,7 +312,7 @@
 
     /// @brief Time for which an order waits after it was recorded, so that
     /// hosts which have not promised learn of it from the record.
-    duration record_delay() const;
+    duration record_delay(time_point now) const;
 
     /// @brief Member whose promotion was ordered and may still take effect;
     /// empty if there is none.
@@ -400,8 +400,7 @@
         const member_state& candidate, time_point now) const;
     /// As `covers_ended_members`, without a guess at what a member received
     /// after its last status.
-    bool
-    covers_unknown_commits(const member_state& candidate, time_point now) const;
+    bool covers_unknown_commits(const member_state& candidate) const;
     /// True if the member has everything that clients have seen acknowledged,
     /// or if the order no longer waits for it.
     bool
@@ -410,15 +409,21 @@
     /// and that the candidate lacks.
     bool lacks_passed_on_commits(
         const member_state& candidate, time_point now) const;
+    /// True if it is known that the candidate has everything that clients have
+    /// seen acknowledged.
+    bool
+    has_all_acknowledged(const member_state& candidate, time_point now) const;
+    /// Records a position that the primary reported.
+    void add_primary_position(time_point asked_at, log_position position);
+    /// True if an order need not wait for a replica that does not answer,
+    /// because it is known what clients have seen.
+    bool is_dispensable(const member_state& member, time_point now) const;
     /// True for a member that may be promoted although it is leaving, because
     /// clients have seen commits that no other one has.
     bool
     may_lead_while_leaving(const member_state& member, time_point now) const;
     /// True if the order may wait for a member that is not available.
     bool may_wait_for_commits(time_point now) const;
-    /// Member that an order may promote: the candidate of a failover, or the
-    /// member of an order that is not settled; empty if there is none.
-    std::string_view member_to_hold_for(time_point now) const;
     void update_hold(std::vector<failover_step>& steps, time_point now);
     void update_incomplete_group(time_point now);
     bool no_member_is_primary(time_point now) const;
@@ -517,6 +522,9 @@
     /// Member that was last known to be the primary, and its term.
     std::string primary_;
     std::uint64_t primary_term_ = 0;
+    /// Positions that the primary has reported, oldest first, with the times at
+    /// which it was asked.
+    std::deque<std::pair<time_point, log_position>> primary_positions_;
     /// True if `primary_` is known only from the record of the group.
     bool primary_from_record_ = false;
     /// False if the group may have members that are not known.
@@ -553,10 +561,9 @@
     /// effect.
     std::string ordered_;
     time_point order_pending_until_ = time_point::min();
-    /// Member of the last order without a reply, and the time until which it
-    /// may take effect.
-    std::string unanswered_order_;
-    time_point unanswered_order_until_ = time_point::min();
+    /// As `order_pending_until_`, for an order without a reply whose member
+    /// answers.
+    time_point order_arrives_until_ = time_point::min();
     /// The member leads, but another order for it may be carried out later.
     bool order_took_effect_ = false;
     /// Members that lead by an order without a reply, and the time until which
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -598,7 +598,7 @@
 awaitable<void>
 promotion_coordinator::wait_for_hosts(const std::string& service)
 {
-    const auto delay = state_of(service).planner.record_delay();
+    const auto delay = state_of(service).planner.record_delay(clock::now());
     if (delay == duration::zero())
     {
         co_return;
--- a/src/lib/acknowledgement_survey.cpp
+++ b/src/lib/acknowledgement_survey.cpp
@@ -67,7 +67,8 @@
         return;
     }
     found->second.answered = answer.number;
-    found->second.is_old_enough = answer.uptime >= now - since_ + min_uptime;
+    found->second.answered_at = now;
+    found->second.started_at = now - answer.uptime;
     acknowledged_ = std::max(acknowledged_, answer.acknowledged);
 }
 
@@ -81,7 +82,7 @@
     }
     for (auto& [name, host] : hosts_)
     {
-        const bool promised = has_promised(host);
+        const bool promised = host.answered == request_.number;
         if (now < host.next_request || (releasing && promised))
         {
             continue;
@@ -92,25 +93,29 @@
     return due;
 }
 
-std::size_t acknowledgement_survey::promised() const
+std::size_t acknowledgement_survey::promised(time_point now) const
 {
     return static_cast<std::size_t>(std::count_if(
         hosts_.begin(), hosts_.end(),
-        [this](const auto& entry) { return has_promised(entry.second); }));
+        [this, now](const auto& entry)
+        { return has_promised(entry.second, now); }));
 }
 
-bool acknowledgement_survey::all_promised() const
+bool acknowledgement_survey::all_promised(time_point now) const
 {
-    return promised() == hosts_.size();
+    return promised(now) == hosts_.size();
 }
 
-bool acknowledgement_survey::is_complete() const
+bool acknowledgement_survey::is_complete_since(
+    time_point since, time_point now) const
 {
     return has_hosts() && std::all_of(
                               hosts_.begin(), hosts_.end(),
-                              [this](const auto& entry) {
-                                  return has_promised(entry.second) &&
-                                         entry.second.is_old_enough;
+                              [this, since, now](const auto& entry)
+                              {
+                                  const auto& host = entry.second;
+                                  return has_promised(host, now) &&
+                                         host.started_at < since;
                               });
 }
 
--- a/src/lib/failover_acknowledgements.cpp
+++ b/src/lib/failover_acknowledgements.cpp
@@ -8,23 +8,13 @@
 namespace zinniahub
 {
 
-std::string_view failover_planner::member_to_hold_for(time_point now) const
+namespace
 {
-    if (phase_ == phase::changing)
-    {
-        return candidate_;
-    }
-    if (awaits_order(now))
-    {
-        return ordered_;
-    }
-    const auto found = members_.find(unanswered_order_);
-    const bool may_arrive =
-        found != members_.end() && now < unanswered_order_until_ &&
-        is_fresh(found->second, now) && unanswered_order_ != primary_;
-    return may_arrive ? std::string_view{unanswered_order_}
-                      : std::string_view{};
-}
+
+/// Covers some seconds of a failover.
+constexpr std::size_t max_primary_positions = 100;
+
+} // namespace
 
 void failover_planner::update_hold(
     std::vector<failover_step>& steps, time_point now)
@@ -32,8 +22,9 @@
     const bool early = current_primary(now) != nullptr && !awaits_order(now) &&
                        now - failover_started_at_ <
                            settings_.order_delay - settings_.hold_lead;
-    const auto candidate = member_to_hold_for(now);
-    if (candidate.empty() && phase_ != phase::changing)
+    const bool changing = phase_ == phase::changing;
+    const std::string_view candidate = changing ? candidate_ : ordered_;
+    if (!changing && !awaits_order(now))
     {
         survey_.release(newest_term(), now);
     }
@@ -49,9 +40,9 @@
     }
 }
 
-duration failover_planner::record_delay() const
+duration failover_planner::record_delay(time_point now) const
 {
-    return sync_replicas_ == 0 || survey_.all_promised()
+    return sync_replicas_ == 0 || survey_.all_promised(now)
                ? duration{}
                : settings_.record_propagation;
 }
@@ -92,6 +83,43 @@
                });
 }
 
+void failover_planner::add_primary_position(
+    time_point asked_at, log_position position)
+{
+    primary_positions_.emplace_back(asked_at, position);
+    if (primary_positions_.size() > max_primary_positions)
+    {
+        primary_positions_.pop_front();
+    }
+}
+
+// What the primary had acknowledged when it reported a position that the
+// candidate has, the candidate has too. The hosts know what they passed on
+// since.
+bool failover_planner::has_all_acknowledged(
+    const member_state& candidate, time_point now) const
+{
+    const auto last = std::find_if(
+        primary_positions_.rbegin(), primary_positions_.rend(),
+        [&candidate](const auto& entry)
+        { return entry.second <= candidate.status->received; });
+    return last != primary_positions_.rend() &&
+           survey_.is_holding_for(candidate.definition.instance) &&
+           survey_.is_complete_since(last->first, now) &&
+           candidate.status->received >= survey_.acknowledged();
+}
+
+// Whatever such a member lets the primary acknowledge, the hosts hold until the
+// candidate has received it.
+bool failover_planner::is_dispensable(
+    const member_state& member, time_point now) const
+{
+    const auto* candidate = find_candidate(now);
+    return candidate != nullptr && member.unresponsive_since &&
+           now - *member.unresponsive_since >= settings_.unresponsive_limit &&
+           has_all_acknowledged(*candidate, now);
+}
+
 bool failover_planner::may_lead_while_leaving(
     const member_state& member, time_point now) const
 {
@@ -110,13 +138,19 @@
 }
 
 bool failover_planner::covers_unknown_commits(
-    const member_state& candidate, time_point now) const
+    const member_state& candidate) const
 {
     const auto primary = members_.find(primary_);
+    const bool has_primary = primary != members_.end() &&
+                             &primary->second != &candidate &&
+                             !has_shut_down(primary->second);
+    // Without an entry of the primary's term, the candidate may have received
+    // nothing for long.
     const bool behind_primary =
-        primary != members_.end() && &primary->second != &candidate &&
-        is_fresh(primary->second, now) &&
-        primary->second.status->received > candidate.status->received;
+        has_primary &&
+        (candidate.status->received.term < primary_term_ ||
+         (primary->second.status &&
+          primary->second.status->received > candidate.status->received));
     const bool knows_last_commits = std::all_of(
         members_.begin(), members_.end(),
         [this](const auto& entry)
@@ -141,7 +175,7 @@
     {
         return false;
     }
-    if (!survey_.all_promised() &&
+    if (!survey_.all_promised(now) &&
         now - survey_.since() < settings_.promise_limit)
     {
         return false;
@@ -150,9 +184,10 @@
     {
         return false;
     }
-    return survey_.is_complete() || (covers_ended_members(candidate) &&
-                                     (!may_wait_for_commits(now) ||
-                                      covers_unknown_commits(candidate, now)));
+    return has_all_acknowledged(candidate, now) ||
+           (covers_ended_members(candidate) &&
+            (now - failover_started_at_ >= settings_.missing_commits_limit ||
+             covers_unknown_commits(candidate)));
 }
 
 } // namespace zinniahub
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -22,7 +22,7 @@
     failover_summary result;
     result.known = members_.size();
     result.hosts = survey_.hosts();
-    result.promised = survey_.promised();
+    result.promised = survey_.promised(now);
     result.acknowledged = survey_.acknowledged();
     const auto* candidate =
         candidate_.empty() ? choose_candidate(now) : find_candidate(now);
@@ -84,7 +84,7 @@
     promotion_pending_ = false;
     clear_order();
     repeatable_orders_.clear();
-    unanswered_order_.clear();
+    primary_positions_.clear();
     all_paused_since_.reset();
     relayed_instance_.clear();
 }
@@ -144,6 +144,11 @@
     }
     if (status.primary && status.term >= primary_term_)
     {
+        if (primary_ != found->first || primary_term_ != status.term)
+        {
+            primary_positions_.clear();
+        }
+        add_primary_position(sent_at, status.received);
         primary_ = found->first;
         primary_term_ = status.term;
         primary_from_record_ = false;
--- a/src/lib/failover_orders.cpp
+++ b/src/lib/failover_orders.cpp
@@ -11,14 +11,20 @@
     ordered_ = instance;
     order_pending_until_ = now + settings_.late_order_limit;
     order_from_record_ = true;
-    unanswered_order_ = instance;
-    unanswered_order_until_ = now + settings_.arrival_limit;
+    order_arrives_until_ = now + settings_.arrival_limit;
 }
 
 bool failover_planner::order_is_pending(time_point now) const
 {
-    return !ordered_.empty() &&
-           (promotion_pending_ || now < order_pending_until_);
+    if (ordered_.empty())
+    {
+        return false;
+    }
+    const auto found = members_.find(ordered_);
+    const bool may_arrive = found != members_.end() &&
+                            is_fresh(found->second, now) &&
+                            now < order_arrives_until_;
+    return promotion_pending_ || now < order_pending_until_ || may_arrive;
 }
 
 bool failover_planner::awaits_order(time_point now) const
@@ -34,14 +40,19 @@
 
 std::string_view failover_planner::pending_order(time_point now) const
 {
-    return order_is_pending(now) ? std::string_view{ordered_}
-                                 : std::string_view{};
+    if (order_is_pending(now))
+    {
+        return ordered_;
+    }
+    return may_be_promoted_again(primary_, now) ? std::string_view{primary_}
+                                                : std::string_view{};
 }
 
 void failover_planner::clear_order()
 {
     ordered_.clear();
     order_pending_until_ = time_point::min();
+    order_arrives_until_ = time_point::min();
     order_took_effect_ = false;
     order_from_record_ = false;
 }
@@ -58,8 +69,7 @@
     }
     if (settings_.tokens_checked)
     {
-        repeatable_orders_[ordered_] = unanswered_order_until_;
-        unanswered_order_.clear();
+        repeatable_orders_[ordered_] = order_arrives_until_;
         clear_order();
         return;
     }
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -47,8 +47,7 @@
     next_promotion_ = now + settings_.promotion_retry_interval;
     if (unknown)
     {
-        unanswered_order_ = ordered_;
-        unanswered_order_until_ = now + settings_.arrival_limit;
+        order_arrives_until_ = now + settings_.arrival_limit;
     }
 }
 
@@ -343,6 +342,7 @@
         {
             const auto& member = entry.second;
             return !is_other_replica(member, candidate_) ||
+                   is_dispensable(member, now) ||
                    (is_fresh(member, now) &&
                     member.status->paused_term >= pause_term_);
         });
@@ -357,7 +357,7 @@
         {
             const auto& member = entry.second;
             return !is_other_replica(member, candidate_) ||
-                   is_recent(member, now);
+                   is_dispensable(member, now) || is_recent(member, now);
         });
     return recent && is_recent(candidate, now) &&
            other_replicas_are_paused(now);
