Keep a hold when the record of an earlier order is read late

Cause: a host took what it had learnt last for the newest. A record that named the primary, read 0.1 s late, replaced the holder's request for another candidate, and the host passed on what that one lacked.

Change: a record counts only if the last request that names a candidate is older than 1 s.

--- a/include/zinniahub/acknowledgement_hold.hpp
+++ b/include/zinniahub/acknowledgement_hold.hpp
@@ -63,6 +63,8 @@
 public:
     /// Longer than an order may be on its way.
     static constexpr duration limit = std::chrono::seconds(15);
+    /// Age of a request that names a candidate up to which no record counts.
+    static constexpr duration contact_limit = std::chrono::seconds(1);
 
     /// @return false if the request is outdated and gets no answer
     bool on_request(hold_request request, time_point now)
@@ -105,8 +107,11 @@
         {
             return std::string();
         }
-        const bool by_record =
-            !recorded_candidate_.empty() && recorded_at_ > requested_at_;
+        // A record may be read late; the holder repeats its requests.
+        const bool in_contact =
+            !request_.candidate.empty() && now < requested_at_ + contact_limit;
+        const bool by_record = !recorded_candidate_.empty() &&
+                               recorded_at_ > requested_at_ && !in_contact;
         const auto& candidate =
             by_record ? recorded_candidate_ : request_.candidate;
         const auto since = by_record ? recorded_at_ : requested_at_;
--- a/tests/unit/unit-acknowledgement_hold.cpp
+++ b/tests/unit/unit-acknowledgement_hold.cpp
@@ -100,6 +100,16 @@
     EXPECT_EQ(hold.required_member("i-1", {3, 7}, start + 2s), "");
 }
 
+// Guards against a record that is read late and ends the hold for another
+// candidate: it named the primary, whose order had been recorded before.
+TEST(acknowledgement_hold, late_record_does_not_replace_a_request)
+{
+    acknowledgement_hold hold;
+    hold.on_request(request(1, "i-2"), start);
+    hold.on_record("i-1", 3, start + 50ms);
+    EXPECT_EQ(hold.required_member("i-1", {3, 7}, start + 100ms), "i-2");
+}
+
 // Guards against a survey that counts promises for another candidate.
 TEST(acknowledgement_survey, needs_a_new_promise_for_another_candidate)
 {
