--- a/tests/unit/changing_group_model.hpp
+++ b/tests/unit/changing_group_model.hpp
@@ -739,11 +739,12 @@
         {
             events_.emplace(
                 now_ + between(5ms, 450ms),
-                [this, &state, ordered = record.ordered, term = record.term]
+                [this, target = &state, ordered = record.ordered,
+                 term = record.term]
                 {
-                    if (state.running)
+                    if (target->running)
                     {
-                        state.hold.on_record(ordered, term, now_);
+                        target->hold.on_record(ordered, term, now_);
                     }
                 });
         }
