--- a/include/zinniahub/acknowledgement_hold.hpp
+++ b/include/zinniahub/acknowledgement_hold.hpp
@@ -22,8 +22,7 @@
     std::uint64_t duty = 0;
     /// Greater for each request of a holder than for those before.
     std::uint64_t number = 0;
-    /// Newest term that the holder knows. Acknowledgements of later terms are
-    /// not held.
+    /// Newest term that the holder knows.
     std::uint64_t term = 0;
     /// Member that may be promoted; empty to end the hold.
     std::string candidate;
@@ -56,8 +55,10 @@
 /// newest known one is not passed on, for `limit` after that became known.
 ///
 /// A host that no holder reaches learns of an order from the durable record of
-/// the replication group, which is written before the order is sent. What it
-/// learned last counts; a record without an order does not end a hold.
+/// the replication group, which is written before the order is sent. Of request
+/// and record, the one that it learned last counts, but for `contact_limit` a
+/// request that names a candidate. A record without an order does not end a
+/// hold.
 class acknowledgement_hold
 {
 public:
