Follow all prefixes of the store with one watch

Each host kept three watches with waits of 1.7 to 4 s, about 1.8 calls a second and host, and each call has a price. One watch of the whole store now serves all prefixes.

--- a/src/coordination/store_follower.cpp
+++ b/src/coordination/store_follower.cpp
@@ -30,15 +30,18 @@
 } // namespace
 
 store_follower::store_follower(
-    asio::io_context& io, store& source, settings values, handlers callbacks,
-    log::event_log& events)
+    asio::io_context& io, store& source, settings values,
+    std::vector<subscription> subscriptions, log::event_log& events)
     : io_(io)
     , store_(source)
-    , settings_(std::move(values))
-    , handlers_(std::move(callbacks))
+    , settings_(values)
     , events_(events)
     , batch_timer_(io)
 {
+    for (auto& entry : subscriptions)
+    {
+        prefixes_.push_back({std::move(entry)});
+    }
 }
 
 void store_follower::set_prompt(bool prompt)
@@ -69,30 +72,28 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
-void store_follower::on_failure(const error& failure)
+void store_follower::on_failure(std::string_view prefix, const error& failure)
 {
     if (failures_++ == 0)
     {
         events_.write(
-            "store_lost", {{"prefix", settings_.prefix},
+            "store_lost", {{"prefix", prefix},
                            {"error", to_string(failure.code)},
                            {"at", revision_}});
     }
 }
 
-void store_follower::on_success(time_point asked_at)
+void store_follower::on_success()
 {
     if (failures_ > 0)
     {
-        events_.write(
-            "store_regained",
-            {{"prefix", settings_.prefix}, {"failures", failures_}});
+        events_.write("store_regained", {{"failures", failures_}});
     }
     failures_ = 0;
-    synced_at_ = std::max(synced_at_, asked_at);
 }
 
-void store_follower::deliver(const handler& receiver, const store_batch& batch)
+void store_follower::deliver(
+    std::string_view prefix, const handler& receiver, const store_batch& batch)
 {
     try
     {
@@ -102,52 +103,85 @@
     {
         // Following must not end with one record that nobody expected.
         events_.write(
-            "records_failed", {{"prefix", settings_.prefix},
+            "records_failed", {{"prefix", prefix},
                                {"revision", batch.revision},
                                {"detail", failure.what()}});
     }
 }
 
-awaitable<bool> store_follower::list()
+awaitable<bool> store_follower::list_all()
 {
     const auto asked_at = clock::now();
-    const auto batch = co_await store_.list(settings_.prefix);
+    for (auto& target : prefixes_)
+    {
+        const bool listed = co_await list(target);
+        if (!listed)
+        {
+            co_return false;
+        }
+    }
+    // Changes after the first listing are watched for.
+    revision_ = prefixes_.front().listed_at;
+    synced_at_ = std::max(synced_at_, asked_at);
+    co_return true;
+}
+
+awaitable<bool> store_follower::list(followed_prefix& target)
+{
+    const auto batch = co_await store_.list(target.source.prefix);
     if (!batch)
     {
-        on_failure(batch.error());
+        on_failure(target.source.prefix, batch.error());
         co_return false;
     }
-    on_success(asked_at);
-    revision_ = batch->revision;
-    deliver(handlers_.on_listed, *batch);
+    on_success();
+    target.listed_at = batch->revision;
+    deliver(target.source.prefix, target.source.on_listed, *batch);
     co_return true;
 }
 
 awaitable<bool> store_follower::watch()
 {
     const auto asked_at = clock::now();
-    const auto batch = co_await store_.watch(
-        settings_.prefix, revision_, settings_.watch_wait);
+    const auto batch =
+        co_await store_.watch({}, revision_, settings_.watch_wait);
+    has_changes_ = batch && !batch->items.empty();
     if (!batch)
     {
         if (batch.error().code == errc::not_found)
         {
-            events_.write(
-                "history_lost",
-                {{"prefix", settings_.prefix}, {"at", revision_}});
+            events_.write("history_lost", {{"at", revision_}});
             co_return false;
         }
-        on_failure(batch.error());
+        on_failure({}, batch.error());
         co_await sleep(retry_delay(failures_ - 1));
         co_return true;
     }
-    on_success(asked_at);
+    on_success();
+    synced_at_ = std::max(synced_at_, asked_at);
     revision_ = std::max(revision_, batch->revision);
-    if (!batch->items.empty())
+    deliver_changes(*batch);
+    co_return true;
+}
+
+void store_follower::deliver_changes(const store_batch& batch)
+{
+    for (const auto& target : prefixes_)
     {
-        deliver(handlers_.on_changed, *batch);
+        store_batch part{.items = {}, .revision = batch.revision};
+        for (const auto& item : batch.items)
+        {
+            if (item.key.starts_with(target.source.prefix) &&
+                item.revision > target.listed_at)
+            {
+                part.items.push_back(item);
+            }
+        }
+        if (!part.items.empty())
+        {
+            deliver(target.source.prefix, target.source.on_changed, part);
+        }
     }
-    co_return true;
 }
 
 awaitable<void> store_follower::follow()
@@ -158,7 +192,7 @@
     {
         if (!listed)
         {
-            listed = co_await list();
+            listed = co_await list_all();
             if (!listed)
             {
                 co_await sleep(retry_delay(failures_ - 1));
@@ -166,7 +200,8 @@
             continue;
         }
         listed = co_await watch();
-        if (listed && !prompt_ && settings_.batch_delay > duration::zero())
+        if (listed && has_changes_ && !prompt_ &&
+            settings_.batch_delay > duration::zero())
         {
             co_await wait_for_batch();
         }
--- a/tests/unit/unit-platform_records.cpp
+++ b/tests/unit/unit-platform_records.cpp
@@ -185,6 +185,7 @@
 [bounds]
 grace_period_s = 6
 drain_timeout_ms = 7000
+touch_ms = 5000
 quota_overage = 0.1
 quota_tolerance = 20
 [platform]
@@ -198,6 +199,7 @@
     EXPECT_EQ(settings->peer_address, "10.1.0.26:7560");
     EXPECT_EQ(settings->store_address, "10.200.1.7:8466");
     EXPECT_TRUE(settings->promotion_enabled);
+    EXPECT_EQ(settings->store_recovery_limit, std::chrono::seconds(5));
     EXPECT_EQ(settings->grace_period, 6s);
     EXPECT_EQ(settings->quota_tolerance, 20);
     EXPECT_EQ(parse_settings("zone = 1").error().code, errc::settings_missing);
