--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -77,6 +77,10 @@
     , directory_(directory)
     , settings_(std::move(values))
     , events_(events)
+    , duty_(
+          io, target,
+          {.host = settings_.host, .return_delay = settings_.return_delay},
+          duty_handlers(), events)
 {
     relay_.set_handler(
         [this](
@@ -92,168 +96,36 @@
 
 void promotion_coordinator::start()
 {
-    asio::co_spawn(io_, maintain_leadership(), asio::detached);
+    duty_.start();
     asio::co_spawn(io_, run_planner(), asio::detached);
 }
 
-void promotion_coordinator::on_item(const stored_item& item)
+duty_lease::handlers promotion_coordinator::duty_handlers()
 {
-    if (item.key != duty_key || item.revision < revision_)
-    {
-        return;
-    }
-    revision_ = item.removed ? 0 : item.revision;
-    leader_ = item.removed ? std::string{} : item.value;
-    vacant_since_ = item.removed ? clock::now() : never;
-    if (lease_id_ != 0 && leader_ != settings_.host)
-    {
-        on_leadership_lost("another_holder");
-    }
+    return {
+        .may_claim = [this] { return configuration_ != nullptr; },
+        .on_taken = [this] { on_duty_taken(); },
+        .prepare = [this] { return load_groups(); },
+        .on_lost = [this] { services_.clear(); }};
 }
 
-awaitable<void> promotion_coordinator::maintain_leadership()
+void promotion_coordinator::on_duty_taken()
 {
-    asio::steady_timer timer(io_);
-    auto next_renewal = time_point::min();
-    while (!leaving_)
-    {
-        timer.expires_after(2 * tick_interval);
-        co_await timer.async_wait(asio::use_awaitable);
-        const auto now = clock::now();
-        if (lease_id_ != 0 && !lease_.is_valid(now))
-        {
-            on_leadership_lost("lease_ended");
-        }
-        if (configuration_ == nullptr || leaving_)
-        {
-            continue;
-        }
-        if (!eligible_)
-        {
-            if (lease_id_ != 0)
-            {
-                co_await release_leadership("members_lost");
-            }
-            continue;
-        }
-        if (lease_id_ != 0)
-        {
-            if (!groups_loaded_)
-            {
-                co_await load_groups();
-            }
-            if (now >= next_renewal &&
-                store_.last_answer_at() >= renewal_failed_at_)
-            {
-                next_renewal = now + settings_.renew_interval;
-                co_await renew_lease();
-            }
-            continue;
-        }
-        // The key was written by an earlier process of this host, which has
-        // ended.
-        const bool own = leader_ == settings_.host;
-        const bool vacant =
-            leader_.empty() && (vacant_since_ == never ||
-                                now - vacant_since_ >= settings_.claim_delay);
-        if (own || vacant)
-        {
-            co_await acquire_leadership();
-            next_renewal = clock::now() + settings_.renew_interval;
-        }
-    }
-}
-
-awaitable<void> promotion_coordinator::acquire_leadership()
-{
-    // Another host may acquire the duty while the lease is granted.
-    const auto vacant_at = revision_;
-    const auto sent_at = lease_clock::on_request_sent(clock::now());
-    const auto lease = co_await store_.grant_lease(settings_.ttl);
-    if (!lease)
-    {
-        co_return;
-    }
-    store_transaction change;
-    change.preconditions.push_back({std::string(duty_key), vacant_at});
-    change.writes.push_back({std::string(duty_key), settings_.host, lease->id});
-    const auto written = co_await store_.commit(change);
-    if (!written)
-    {
-        co_await store_.revoke_lease(lease->id);
-        co_return;
-    }
-    lease_id_ = lease->id;
-    lease_.on_granted(sent_at, lease->ttl);
-    revision_ = *written;
-    duty_revision_ = *written;
-    leader_ = settings_.host;
     services_.clear();
     groups_loaded_ = false;
     events_.write(
-        "duty_taken", {{"lease", lease_id_},
-                       {"revision", revision_},
+        "duty_taken", {{"lease", duty_.lease()},
+                       {"revision", duty_.revision()},
                        {"members", directory_.members().size()}});
-    co_await load_groups();
-}
-
-awaitable<void> promotion_coordinator::renew_lease()
-{
-    const auto sent_at = lease_clock::on_request_sent(clock::now());
-    const auto lease = lease_id_;
-    const auto ttl = co_await store_.renew_lease(lease);
-    if (lease != lease_id_)
-    {
-        co_return;
-    }
-    renewal_failed_at_ = ttl ? time_point::min() : clock::now();
-    if (!ttl)
-    {
-        events_.write(
-            "duty_renewal_failed", {{"error", to_string(ttl.error().code)},
-                                    {"detail", ttl.error().detail}});
-    }
-    if (ttl)
-    {
-        lease_.on_granted(sent_at, *ttl);
-    }
-    else if (ttl.error().code == errc::lease_expired)
-    {
-        on_leadership_lost("lease_unknown");
-    }
-}
-
-void promotion_coordinator::on_leadership_lost(std::string_view reason)
-{
-    events_.write("duty_lost", {{"why", reason}, {"revision", revision_}});
-    lease_.on_lost(clock::now());
-    lease_id_ = 0;
-    services_.clear();
 }
 
 bool promotion_coordinator::is_urgent() const
 {
-    return lease_id_ != 0 && std::any_of(
-                                 services_.begin(), services_.end(),
-                                 [](const auto& entry)
-                                 { return entry.second.planner.is_urgent(); });
-}
-
-awaitable<void> promotion_coordinator::stop()
-{
-    leaving_ = true;
-    if (lease_id_ != 0)
-    {
-        co_await release_leadership("stopping");
-    }
-}
-
-awaitable<void>
-promotion_coordinator::release_leadership(std::string_view reason)
-{
-    const auto lease = lease_id_;
-    on_leadership_lost(reason);
-    co_await store_.revoke_lease(lease);
+    return duty_.has_lease() && std::any_of(
+                                    services_.begin(), services_.end(),
+                                    [](const auto& entry) {
+                                        return entry.second.planner.is_urgent();
+                                    });
 }
 
 awaitable<void> promotion_coordinator::run_planner()
@@ -377,7 +249,7 @@
     const auto [found, is_new] = services_.try_emplace(service, values);
     if (is_new)
     {
-        found->second.planner.reset(duty_revision_);
+        found->second.planner.reset(duty_.taken_revision());
         found->second.planner.on_hosts(hosts_);
     }
     return found->second;
@@ -509,7 +381,7 @@
     const pooling::member_address target{
         service, found->second.address, instance,
         std::string(control_customer)};
-    const auto epoch = lease_.epoch();
+    const auto epoch = duty_.epoch();
     auto* control = &member_control_for(state_of(service), instance);
     control->busy = true;
     // The call owns the connection until it ends, because the duty may be
@@ -541,7 +413,7 @@
         answer = co_await link->run(value, status_timeout);
     }
     const auto now = clock::now();
-    if (epoch != lease_.epoch() || !services_.contains(service))
+    if (epoch != duty_.epoch() || !services_.contains(service))
     {
         co_return;
     }
@@ -571,24 +443,21 @@
 awaitable<result<std::uint64_t>> promotion_coordinator::fencing_token_for(
     service_state& service, const std::string& instance)
 {
-    const bool unused = service.fencing_token != revision_;
+    const bool unused = service.fencing_token != duty_.revision();
     const bool repeated =
         service.fencing_token != 0 && service.ordered_instance == instance;
     if (unused || repeated)
     {
         // The token was not used for this service, or for the same order.
-        service.fencing_token = unused ? revision_ : service.fencing_token;
+        service.fencing_token =
+            unused ? duty_.revision() : service.fencing_token;
         service.ordered_instance = instance;
         co_return service.fencing_token;
     }
-    store_transaction change;
-    change.preconditions.push_back({std::string(duty_key), revision_});
-    change.writes.push_back({std::string(duty_key), settings_.host, lease_id_});
-    const auto epoch = lease_.epoch();
-    const auto written = co_await store_.commit(change);
-    if (written && epoch == lease_.epoch() && lease_id_ != 0)
+    const auto epoch = duty_.epoch();
+    const auto written = co_await duty_.renew_token();
+    if (written && epoch == duty_.epoch() && duty_.has_lease())
     {
-        revision_ = std::max(revision_, *written);
         service.fencing_token = *written;
         service.ordered_instance = instance;
     }
@@ -611,9 +480,9 @@
 awaitable<void> promotion_coordinator::send_order(
     std::string service, failover_action::order_promotion value)
 {
-    const auto epoch = lease_.epoch();
+    const auto epoch = duty_.epoch();
     const bool recorded = co_await record_order(service, value.instance);
-    if (epoch != lease_.epoch())
+    if (epoch != duty_.epoch())
     {
         co_return;
     }
@@ -622,7 +491,7 @@
     {
         co_await wait_for_hosts(service);
     }
-    if (epoch != lease_.epoch())
+    if (epoch != duty_.epoch())
     {
         co_return;
     }
@@ -630,7 +499,7 @@
     {
         token = co_await fencing_token_for(state_of(service), value.instance);
     }
-    if (epoch != lease_.epoch())
+    if (epoch != duty_.epoch())
     {
         co_return;
     }
@@ -673,7 +542,7 @@
          {"promised", basis.promised},
          {"acknowledged", to_string(basis.acknowledged)}});
     const auto found = services_.find(service);
-    if (found != services_.end() && epoch == lease_.epoch())
+    if (found != services_.end() && epoch == duty_.epoch())
     {
         found->second.planner.on_promotion_result(outcome, clock::now());
     }
--- a/src/coordination/promotion_coordinator.hpp
+++ b/src/coordination/promotion_coordinator.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/duty_lease.hpp"
 #include "coordination/hold_channel.hpp"
 #include "coordination/member_relay.hpp"
 #include "coordination/store.hpp"
@@ -7,7 +8,6 @@
 #include "pooling/ports.hpp"
 
 #include <zinniahub/failover_planner.hpp>
-#include <zinniahub/lease.hpp>
 #include <zinniahub/proxy_configuration.hpp>
 #include <zinniahub/replication_group.hpp>
 #include <zinniahub/upstream_directory.hpp>
@@ -23,16 +23,12 @@
 namespace zinniahub::coordination
 {
 
-/// @brief Key that the holder of the duty keeps under its lease.
-inline constexpr std::string_view duty_key = "zinniahub/duty/promotion";
-
-/// @brief Elects the one host that may order promotions (the duty) and runs
-/// the failover planner on it.
+/// @brief Runs the failover planner on the host that holds the duty, the only
+/// one that may order promotions.
 ///
-/// The holder keeps a key under a lease and stops as soon as the lease may
-/// have expired. The fencing token is the revision of a write to that key. An
-/// order that names another member than the one before gets a higher token, so
-/// that the platform refuses the earlier order if it is carried out late.
+/// The fencing token is the revision of a write to the holder's key. An order
+/// that names another member than the one before gets a higher token, so that
+/// the platform refuses the earlier order if it is carried out late.
 ///
 /// The holder records the replication group of each service in the store. A
 /// write expects the holder's key unchanged, so that only the present holder
@@ -46,11 +42,8 @@
     struct settings
     {
         std::string host;
-        duration ttl = std::chrono::seconds(4);
-        duration renew_interval = std::chrono::milliseconds(1000);
-        /// Delay before another host claims a vacant duty, so that a restarted
-        /// holder can claim it first.
-        duration claim_delay = std::chrono::milliseconds(200);
+        /// See `duty_lease`.
+        duration return_delay = duration::zero();
         /// The platform rejects outdated fencing tokens, and a replaced primary
         /// stops leading at once.
         bool tokens_checked = true;
@@ -69,24 +62,30 @@
         configuration_ = std::move(configuration);
     }
     /// @brief Applies an item below `state_prefix`.
-    void on_item(const stored_item& item);
+    void on_item(const stored_item& item)
+    {
+        duty_.on_item(item);
+    }
     /// @brief A new listing starts.
     void clear()
     {
-        leader_.clear();
-        revision_ = 0;
+        duty_.clear();
     }
 
-    /// @brief An ineligible host, one that cannot reach most members, gives up
-    /// the duty.
+    /// @brief See `duty_lease`.
     void set_eligible(bool eligible)
     {
-        eligible_ = eligible;
+        duty_.set_eligible(eligible);
     }
 
     bool is_leader(time_point now) const
     {
-        return lease_id_ != 0 && lease_.is_valid(now);
+        return duty_.is_held(now);
+    }
+    /// @brief The duty, which this host may hold.
+    duty_lease& duty()
+    {
+        return duty_;
     }
     /// @brief True while changes of the members must be learned without delay.
     bool is_urgent() const;
@@ -96,7 +95,10 @@
     }
 
     /// @brief Gives the duty up; the host is stopping.
-    awaitable<void> stop();
+    awaitable<void> stop()
+    {
+        return duty_.stop();
+    }
 
 private:
     class member_control;
@@ -117,12 +119,9 @@
         std::string ordered_instance;
     };
 
-    awaitable<void> maintain_leadership();
-    awaitable<void> acquire_leadership();
-    awaitable<void> renew_lease();
-    void on_leadership_lost(std::string_view reason);
-    /// Ends the lease at once, so that another host can acquire the duty.
-    awaitable<void> release_leadership(std::string_view reason);
+    duty_lease::handlers duty_handlers();
+    void on_duty_taken();
+    /// Reads the records, unless they were read after the duty was taken.
     awaitable<void> load_groups();
     void load_group(const stored_item& item);
     awaitable<void> record_group(std::string service);
@@ -185,25 +184,12 @@
     log::event_log& events_;
     configuration_ptr configuration_;
     std::map<std::string, service_state, std::less<>> services_;
-    lease_clock lease_;
-    std::uint64_t lease_id_ = 0;
-    /// Revision under which the duty was taken.
-    std::uint64_t duty_revision_ = 0;
+    duty_lease duty_;
     /// Hosts that the planners know.
     std::vector<std::string> hosts_;
-    /// Holder and revision of the key, as last read from the store.
-    std::string leader_;
-    std::uint64_t revision_ = 0;
-    time_point vacant_since_ = never;
     /// True if the records were read after the duty was taken.
     bool groups_loaded_ = false;
     std::uint64_t orders_sent_ = 0;
-    bool leaving_ = false;
-    bool eligible_ = true;
-    /// When a renewal first got no answer. Renewals stop until the store
-    /// answers again: they may arrive although answers are lost, and would
-    /// keep the duty from a host that can use it.
-    time_point renewal_failed_at_ = time_point::min();
 };
 
 } // namespace zinniahub::coordination
--- a/src/coordination/promotion_groups.cpp
+++ b/src/coordination/promotion_groups.cpp
@@ -31,9 +31,13 @@
 // change them any more.
 awaitable<void> promotion_coordinator::load_groups()
 {
-    const auto epoch = lease_.epoch();
+    if (groups_loaded_)
+    {
+        co_return;
+    }
+    const auto epoch = duty_.epoch();
     const auto records = co_await store_.list(replication_prefix);
-    if (!records || epoch != lease_.epoch() || lease_id_ == 0)
+    if (!records || epoch != duty_.epoch() || !duty_.has_lease())
     {
         co_return;
     }
@@ -76,11 +80,11 @@
 
 awaitable<void> promotion_coordinator::record_group(std::string service)
 {
-    const auto epoch = lease_.epoch();
+    const auto epoch = duty_.epoch();
     const auto key = std::string(replication_prefix) + service;
     const auto group = state_of(service).group.group();
     store_transaction change;
-    change.preconditions.push_back({std::string(duty_key), revision_});
+    change.preconditions.push_back({std::string(duty_key), duty_.revision()});
     change.preconditions.push_back({key, state_of(service).group.revision()});
     const auto value = encode_replication_group(group);
     change.writes.push_back({key, value, 0});
@@ -104,7 +108,7 @@
         }
     }
     const auto found = services_.find(service);
-    if (epoch != lease_.epoch() || found == services_.end())
+    if (epoch != duty_.epoch() || found == services_.end())
     {
         co_return;
     }
@@ -132,9 +136,9 @@
 awaitable<bool>
 promotion_coordinator::record_order(std::string service, std::string instance)
 {
-    const auto epoch = lease_.epoch();
+    const auto epoch = duty_.epoch();
     co_await wait_for_record(service);
-    if (epoch != lease_.epoch())
+    if (epoch != duty_.epoch())
     {
         co_return false;
     }
@@ -146,16 +150,16 @@
         co_await record_group(service);
     }
     const auto found = services_.find(service);
-    co_return epoch == lease_.epoch() && found != services_.end() &&
+    co_return epoch == duty_.epoch() && found != services_.end() &&
         found->second.group.is_order_recorded(instance);
 }
 
 awaitable<void>
 promotion_coordinator::wait_for_record(const std::string& service)
 {
-    const auto epoch = lease_.epoch();
+    const auto epoch = duty_.epoch();
     asio::steady_timer timer(io_);
-    while (epoch == lease_.epoch() && state_of(service).recording)
+    while (epoch == duty_.epoch() && state_of(service).recording)
     {
         timer.expires_after(record_poll_interval);
         co_await timer.async_wait(asio::use_awaitable);
--- a/src/coordination/store.hpp
+++ b/src/coordination/store.hpp
@@ -2,6 +2,7 @@
 
 #include <zinniahub/error.hpp>
 #include <zinniahub/time.hpp>
+#include <zinniahub/usage_counter.hpp>
 
 // Boost 1.74 uses std::exchange in awaitable.hpp without its header.
 #include <boost/asio/awaitable.hpp>
@@ -111,4 +112,16 @@
         std::string_view holder, std::uint64_t token) = 0;
 };
 
+/// @brief Reports how many operations members ran; see `usage_report_planner`.
+class usage_api
+{
+public:
+    virtual ~usage_api() = default;
+    /// @return `errc::conflict` if a higher token was seen; see `store` for the
+    /// other failures
+    virtual awaitable<result<void>> report_usage(
+        std::uint64_t window, const usage_counts& counts,
+        std::string_view holder, std::uint64_t token) = 0;
+};
+
 } // namespace zinniahub::coordination
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -333,8 +333,10 @@
     {
         co_return std::nullopt;
     }
+    const auto sent_at = clock::now();
     const auto answer = co_await lease->forward(
         value, session, with_own_commits(*required), route_->statement_timeout);
+    manager_.count_usage(answer, customer_, sent_at);
     if (!answer && answer.error().code == errc::statement_too_large)
     {
         // The primary runs it without a position.
@@ -413,6 +415,7 @@
     const auto sent_at = clock::now();
     const auto answer = co_await lease->forward(
         value, session, std::nullopt, route_->statement_timeout);
+    manager_.count_usage(answer, customer_, sent_at);
     if (!answer)
     {
         lease->close();
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -108,6 +108,8 @@
     transaction_state state_ = transaction_state::none;
     bool read_only_ = false;
     bool transaction_wrote_ = false;
+    /// A statement of the open transaction has run.
+    bool transaction_counted_ = false;
     connection_lease connection_;
     /// Route of the open transaction or of the running operation.
     std::optional<route> route_;
--- a/src/pooling/client_transaction.cpp
+++ b/src/pooling/client_transaction.cpp
@@ -26,6 +26,7 @@
     state_ = transaction_state::open;
     read_only_ = value.kind == statement_kind::begin_read_only;
     transaction_wrote_ = false;
+    transaction_counted_ = false;
     return {.signature = "-"};
 }
 
@@ -177,6 +178,10 @@
     const auto sent_at = clock::now();
     const auto answer = co_await connection_.forward(
         value, session, std::nullopt, route_->statement_timeout);
+    if (!transaction_counted_)
+    {
+        transaction_counted_ = manager_.count_usage(answer, customer_, sent_at);
+    }
     if (!answer)
     {
         co_return on_transaction_failure(answer.error(), is_commit);
--- a/src/pooling/ports.hpp
+++ b/src/pooling/ports.hpp
@@ -86,6 +86,21 @@
     connect(const member_address& target, duration timeout) = 0;
 };
 
+/// @brief Counts the operations that members began to run.
+class usage_sink
+{
+public:
+    virtual ~usage_sink() = default;
+    /// @param sent_at time before the statement was sent to the member
+    virtual void
+    on_operation(std::string_view customer, time_point sent_at) = 0;
+};
+
+/// @brief Whether a member began to run a statement, as far as its answer
+/// shows. A statement without an answer counts as begun unless nothing was
+/// sent.
+bool has_begun_to_run(const result<reply>& answer);
+
 /// @brief Connection to one client, as used by its session.
 class client_stream
 {
--- a/src/pooling/session_manager.cpp
+++ b/src/pooling/session_manager.cpp
@@ -133,6 +133,29 @@
         });
 }
 
+bool has_begun_to_run(const result<reply>& answer)
+{
+    if (!answer)
+    {
+        const auto code = answer.error().code;
+        return code != errc::statement_too_large &&
+               code != errc::request_invalid;
+    }
+    return answer->ok() || answer->code == reply_code::failed ||
+           answer->code == reply_code::timeout;
+}
+
+bool session_manager::count_usage(
+    const result<reply>& answer, std::string_view customer, time_point sent_at)
+{
+    const bool has_begun = has_begun_to_run(answer);
+    if (usage_sink_ != nullptr && has_begun)
+    {
+        usage_sink_->on_operation(customer, sent_at);
+    }
+    return has_begun;
+}
+
 void session_manager::close_idle_sessions()
 {
     closing_ = true;
--- a/src/pooling/session_manager.hpp
+++ b/src/pooling/session_manager.hpp
@@ -79,6 +79,17 @@
     {
         first_rotation_ = rotation;
     }
+    /// @brief Counts the operations of all sessions from now on; without a
+    /// sink, nothing is counted.
+    void set_usage_sink(usage_sink* sink)
+    {
+        usage_sink_ = sink;
+    }
+    /// @brief Counts an operation if the member began to run its statement.
+    /// @return true if it did
+    bool count_usage(
+        const result<reply>& answer, std::string_view customer,
+        time_point sent_at);
     /// @brief Sets the number of hosts that share the members' connections.
     void set_host_count(std::size_t host_count);
 
@@ -172,6 +183,7 @@
 
     session_budget session_memory_{max_session_bytes};
     session_list sessions_;
+    usage_sink* usage_sink_ = nullptr;
     bool proof_required_ = false;
     std::uint64_t first_rotation_ = 0;
     bool closing_ = false;
