--- a/src/lib/fleet_time.cpp
+++ b/src/lib/fleet_time.cpp
@@ -31,8 +31,9 @@
     {
         offsets.push_back(entry.offset);
     }
+    // A delayed report is too low, so the upper of two middle values is taken.
     const auto middle =
-        offsets.begin() + static_cast<std::ptrdiff_t>((offsets.size() - 1) / 2);
+        offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
     std::nth_element(offsets.begin(), middle, offsets.end());
     offset_ = *middle;
 }
--- a/tests/support/hosted_platform.hpp
+++ b/tests/support/hosted_platform.hpp
@@ -30,6 +30,8 @@
         /// stops leading at once. Otherwise it leads until it is told to step
         /// down.
         bool tokens_checked = true;
+        /// Length of a window of the usage reports; 0 if there are none.
+        unsigned usage_window_s = 0;
     };
 
     explicit hosted_platform(settings values);
@@ -57,6 +59,10 @@
     {
         return settings_.tokens_checked;
     }
+    unsigned usage_window_s() const
+    {
+        return settings_.usage_window_s;
+    }
     const std::string& service() const
     {
         return settings_.service;
--- a/tests/support/hosted_proxy.cpp
+++ b/tests/support/hosted_proxy.cpp
@@ -27,6 +27,12 @@
 
 constexpr unsigned default_evacuation_ms = 5000;
 
+constexpr const char* usage_bounds = R"(report_window_s = {}
+usage_tolerance = 0.05
+usage_delay_s = 10
+lease_duration_ms = 3000
+)";
+
 std::string next_id()
 {
     static std::atomic<unsigned> count{0};
@@ -164,6 +170,7 @@
     log_path_ = folder / "log";
     store_ = const_cast<hosted_platform&>(platform).store().address();
     tokens_checked_ = platform.tokens_checked();
+    usage_window_s_ = platform.usage_window_s();
     internal_port_ = endpoint_of(free_address()).port();
     write_settings(default_evacuation_ms);
     restart();
@@ -188,14 +195,17 @@
 quota_overage = 0.1
 quota_tolerance = 20
 fencing_enforced = {}
-[platform]
+{}[platform]
 address = "{}"
 [cloud_api]
 address = "{}"
-assigned_tasks = ["promotion"]
+assigned_tasks = ["promotion"{}]
 )",
         name_, internal_port_, internal_port_, address_, ready_,
-        grace_period_.count(), evacuation_ms, tokens_checked_, store_, store_);
+        grace_period_.count(), evacuation_ms, tokens_checked_,
+        usage_window_s_ == 0 ? std::string{}
+                             : fmt::format(usage_bounds, usage_window_s_),
+        store_, store_, usage_window_s_ == 0 ? "" : R"(, "usage_reporting")");
     std::filesystem::rename(written, settings_path_);
 }
 
--- a/tests/support/hosted_proxy.hpp
+++ b/tests/support/hosted_proxy.hpp
@@ -118,6 +118,7 @@
     /// Port for datagrams and connections between the proxies.
     unsigned short internal_port_ = 0;
     bool tokens_checked_ = true;
+    unsigned usage_window_s_ = 0;
     std::string settings_path_;
     std::string log_path_;
     process child_;
--- a/tests/support/hosted_store.cpp
+++ b/tests/support/hosted_store.cpp
@@ -239,6 +239,47 @@
     return promotions_;
 }
 
+void hosted_store::on_usage(
+    std::function<usage_fate(const usage_call&)> handler)
+{
+    const std::lock_guard lock(mutex_);
+    usage_handler_ = std::move(handler);
+}
+
+std::map<std::uint64_t, hosted_store::usage_call> hosted_store::usage() const
+{
+    const std::lock_guard lock(mutex_);
+    return usage_;
+}
+
+std::vector<std::string> hosted_store::usage_violations() const
+{
+    const std::lock_guard lock(mutex_);
+    return usage_violations_;
+}
+
+hosted_store::answer hosted_store::report_usage(const usage_call& call)
+{
+    const std::lock_guard lock(mutex_);
+    const auto fate =
+        usage_handler_ ? usage_handler_(call) : usage_fate::served;
+    if (fate == usage_fate::lost)
+    {
+        return {0, json::object()};
+    }
+    if (call.token < usage_token_)
+    {
+        return {409, json::object()};
+    }
+    usage_token_ = call.token;
+    const auto [accepted, is_new] = usage_.try_emplace(call.window, call);
+    if (!is_new && accepted->second.body != call.body)
+    {
+        usage_violations_.push_back(accepted->second.body + " " + call.body);
+    }
+    return {fate == usage_fate::unanswered ? 0U : 200U, json::object()};
+}
+
 hosted_store::answer
 hosted_store::range(const std::string& prefix, const std::string& after)
 {
@@ -414,6 +455,12 @@
         named.instance = request["instance_id"].get<std::string>();
         return promote(named);
     }
+    if (method == "POST" && target == "/usage")
+    {
+        return report_usage(
+            {json::parse(body)["window_id"].get<std::uint64_t>(), body,
+             order.holder, order.token});
+    }
     return {404, json::object()};
 }
 
--- a/tests/support/hosted_store.hpp
+++ b/tests/support/hosted_store.hpp
@@ -54,6 +54,24 @@
         bool accepted = false;
     };
 
+    /// @brief A call that reports the usage of a window.
+    struct usage_call
+    {
+        std::uint64_t window = 0;
+        std::string body;
+        std::string holder;
+        std::uint64_t token = 0;
+    };
+    /// What happens to a call that reports usage.
+    enum class usage_fate
+    {
+        served,
+        /// It has no effect and gets no reply.
+        lost,
+        /// It has its effect, but gets no reply.
+        unanswered
+    };
+
     hosted_store();
     ~hosted_store();
 
@@ -101,6 +119,13 @@
         late_ms_ = value.count();
     }
 
+    /// @brief Called for each report of usage, before it is served.
+    void on_usage(std::function<usage_fate(const usage_call&)> handler);
+    /// @brief The first accepted report of each window.
+    std::map<std::uint64_t, usage_call> usage() const;
+    /// @brief Reports that differ from an accepted one of their window.
+    std::vector<std::string> usage_violations() const;
+
 private:
     struct item
     {
@@ -140,6 +165,7 @@
     /// @return status of the reply
     unsigned accept_locked(const promotion& named);
     void carry_out_orders();
+    answer report_usage(const usage_call& call);
     answer grant(const nlohmann::json& body);
     void expire_locked();
     void write_locked(
@@ -165,6 +191,10 @@
     std::atomic<std::int64_t> promotion_ms_{0};
     std::atomic<std::int64_t> late_ms_{0};
     std::map<std::string, std::uint64_t> tokens_;
+    std::function<usage_fate(const usage_call&)> usage_handler_;
+    std::map<std::uint64_t, usage_call> usage_;
+    std::vector<std::string> usage_violations_;
+    std::uint64_t usage_token_ = 0;
     std::atomic<bool> ended_{false};
     std::thread worker_;
     /// Declared last, because its threads use the members above.
