Keep idle connections on some hosts where a member has none for each host

Cause: each host kept limit / 2 / hosts idle connections for each member, which is 0 for 56 connections and 66 hosts, so every connection was closed after 200 ms without use.

The remainder of the division now goes to as many hosts, other ones for each member of a service, in an order that all hosts compute alike. All hosts together keep exactly half of what each member accepts. A member that refuses a connection with TOOMANY gets the idle ones of this host back.

--- a/src/pooling/member_choice.cpp
+++ b/src/pooling/member_choice.cpp
@@ -51,6 +51,18 @@
     return registered ? 2 : 3;
 }
 
+/// Access to a member, where replacing a connection that is hardly used costs
+/// no more than opening one.
+member_pool::availability
+access_of(const member_pool& pool, std::string_view customer, time_point now)
+{
+    const auto access = pool.availability_for(customer, now);
+    return access == member_pool::availability::replace &&
+                   pool.has_replaceable(now)
+               ? member_pool::availability::open
+               : access;
+}
+
 bool is_excluded(const read_requirements& needs, const std::string& instance)
 {
     return std::find(needs.excluded.begin(), needs.excluded.end(), instance) !=
@@ -109,9 +121,8 @@
         {
             continue;
         }
-        const auto access = pool->availability_for(needs.customer, now);
         ranked.push_back(
-            {{static_cast<int>(access),
+            {{static_cast<int>(access_of(*pool, needs.customer, now)),
               2 * pool->in_use() + (primary ? 1U : 0U), rotation % 3},
              &member});
     }
--- a/src/pooling/member_pool.cpp
+++ b/src/pooling/member_pool.cpp
@@ -17,9 +17,6 @@
 constexpr duration initial_connect_backoff = std::chrono::milliseconds(20);
 constexpr duration max_connect_backoff = std::chrono::milliseconds(160);
 
-/// Idle time after which a connection beyond those kept is closed.
-constexpr duration surplus_idle_limit = std::chrono::milliseconds(200);
-
 /// Age after which a measured lag is ignored and the member is tried again.
 constexpr duration lag_validity = std::chrono::milliseconds(500);
 
@@ -32,9 +29,7 @@
 member_pool::limits::of(std::uint32_t member_limit, std::size_t hosts)
 {
     const auto count = static_cast<std::uint32_t>(hosts);
-    return {
-        std::max<std::uint32_t>(member_limit / count, 1),
-        member_limit / 2 / count, member_limit};
+    return {std::max<std::uint32_t>(member_limit / count, 1), member_limit};
 }
 
 member_pool::availability
@@ -111,9 +106,15 @@
 
 void member_pool::close_surplus(time_point now)
 {
-    while (idle_.size() > limits_.max_idle &&
-           now - idle_.back()->idle_since > surplus_idle_limit)
+    while (!idle_.empty())
     {
+        const auto limit = idle_.size() > max_idle_
+                               ? idle_budget::surplus_idle_limit
+                               : idle_budget::idle_limit;
+        if (now - idle_.back()->idle_since <= limit)
+        {
+            return;
+        }
         close_oldest_idle();
     }
 }
@@ -146,6 +147,11 @@
         connect_backoff_ = std::clamp<duration>(
             2 * connect_backoff_, initial_connect_backoff, max_connect_backoff);
         connect_backoff_until_ = now + connect_backoff_;
+        if (failure.code == reply_code::too_many)
+        {
+            // Hosts with requests need the connections more.
+            close_all_idle();
+        }
         return;
     }
     mark_suspect(now);
--- a/src/pooling/member_pool.hpp
+++ b/src/pooling/member_pool.hpp
@@ -3,6 +3,7 @@
 #include "pooling/ports.hpp"
 
 #include <zinniahub/concurrency_limit.hpp>
+#include <zinniahub/idle_budget.hpp>
 #include <zinniahub/session_values.hpp>
 
 #include <cstdint>
@@ -40,15 +41,10 @@
     {
         /// Connections that this host may always open.
         std::uint32_t own_share = 1;
-        /// Idle connections that are kept. Members keep the connections of a
-        /// crashed host open for seconds, so some capacity stays free for
-        /// hosts that restart.
-        std::uint32_t max_idle = 1;
         /// Connections that the member accepts from all hosts.
         std::uint32_t member_limit = 1;
 
-        /// @brief Limits of one of `hosts` hosts. The idle connections of all
-        /// hosts together take at most half of the member's limit.
+        /// @brief Limits of one of `hosts` hosts.
         static limits of(std::uint32_t member_limit, std::size_t hosts);
     };
 
@@ -68,6 +64,20 @@
     {
         limits_ = values;
     }
+    /// @brief Sets the number of idle connections that are kept, see
+    /// `idle_share::allowance`.
+    void set_max_idle(std::uint32_t value)
+    {
+        max_idle_ = value;
+    }
+    std::uint32_t max_idle() const
+    {
+        return max_idle_;
+    }
+    std::size_t idle_count() const
+    {
+        return idle_.size();
+    }
 
     availability
     availability_for(std::string_view customer, time_point now) const;
@@ -84,8 +94,16 @@
     /// @brief Closes the connection that has been idle longest.
     void close_oldest_idle();
 
-    /// @brief Closes long-idle connections beyond `max_idle`.
+    /// @brief Closes connections that were idle for too long, and those beyond
+    /// `max_idle` after a short time; the ones used last are kept.
     void close_surplus(time_point now);
+    /// @brief True if the connection that was idle longest is hardly used, so
+    /// that a request of another customer may replace it.
+    bool has_replaceable(time_point now) const
+    {
+        return !idle_.empty() &&
+               now - idle_.back()->idle_since > idle_budget::replaceable_after;
+    }
     void close_all_idle();
 
     /// @brief A connection is being opened.
@@ -188,6 +206,7 @@
     time_point last_answer_at_ = time_point::min();
 
     limits limits_;
+    std::uint32_t max_idle_ = 0;
     std::list<pooled_connection_ptr> idle_;
     /// Connections in use and being opened.
     std::uint32_t in_use_ = 0;
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -52,7 +52,7 @@
 }
 
 void service_gateway::set_definition(
-    service_definition definition, std::size_t host_count,
+    service_definition definition, const idle_budget& budget,
     std::string_view customer)
 {
     if (last_customer_.empty())
@@ -61,7 +61,28 @@
     }
     definition_ = std::move(definition);
     pools_.set_limits(member_pool::limits::of(
-        definition_.max_connections, std::max<std::size_t>(host_count, 1)));
+        definition_.max_connections, budget.host_count()));
+    idle_share_ =
+        budget.share_of(definition_.name, definition_.max_connections);
+    update_idle_allowances();
+}
+
+void service_gateway::update_idle_allowances()
+{
+    std::size_t index = 0;
+    for (const auto& [instance, member] : directory_.members())
+    {
+        if (member.record.service != definition_.name)
+        {
+            continue;
+        }
+        const auto pool = pools_.all().find(instance);
+        if (pool != pools_.all().end())
+        {
+            pool->second.set_max_idle(idle_share_.allowance(index));
+        }
+        ++index;
+    }
 }
 
 member_view service_gateway::view() const
@@ -320,6 +341,7 @@
     const auto now = clock::now();
     probe_silent_members(now);
     sample_if_requested(now);
+    update_idle_allowances();
     auto& pools = pools_.all();
     for (auto entry = pools.begin(); entry != pools.end();)
     {
@@ -346,7 +368,9 @@
     std::vector<member_connections> all;
     for (const auto& [instance, pool] : pools_.all())
     {
-        all.push_back({instance, pool.in_use(), pool.connection_count()});
+        all.push_back(
+            {instance, pool.in_use(), pool.connection_count(),
+             pool.idle_count(), pool.max_idle()});
     }
     return all;
 }
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -81,7 +81,7 @@
 
     /// @param customer whose connection the proxy's own commands may use
     void set_definition(
-        service_definition definition, std::size_t host_count,
+        service_definition definition, const idle_budget& budget,
         std::string_view customer);
 
     /// @brief Takes a connection to the primary.
@@ -193,6 +193,9 @@
         std::string instance;
         std::uint32_t in_use = 0;
         std::size_t open = 0;
+        std::size_t idle = 0;
+        /// Idle connections that are kept.
+        std::uint32_t max_idle = 0;
     };
     std::vector<member_connections> connection_counts() const;
     std::size_t waiting_requests() const;
@@ -267,6 +270,8 @@
     void wake_waiters(std::string_view instance);
     static bool wake_next(queue_map& queues);
     void probe_silent_members(time_point now);
+    /// Gives each pool its part of the idle connections.
+    void update_idle_allowances();
     bool needs_sample(time_point now) const;
     void sample_if_requested(time_point now);
     void refresh_position();
@@ -295,6 +300,7 @@
     service_definition definition_;
     log::event_log& events_;
     pool_set pools_;
+    idle_share idle_share_;
     connection_opener opener_;
     primary_position_history samples_;
     confirmed_primary primary_;
--- a/src/pooling/session_manager.cpp
+++ b/src/pooling/session_manager.cpp
@@ -67,12 +67,24 @@
          {"customers", configuration->customers.size()},
          {"unreadable", configuration->unreadable}});
     configuration_ = std::move(configuration);
-    set_host_count(host_count_);
+    update_gateways();
 }
 
-void session_manager::set_host_count(std::size_t host_count)
+void session_manager::set_hosts(
+    std::string own, const std::set<std::string>& hosts)
+{
+    if (!idle_budget_.set_hosts(std::move(own), {hosts.begin(), hosts.end()}))
+    {
+        return;
+    }
+    events_.write(
+        "idle_budget_changed", {{"hosts", idle_budget_.host_count()},
+                                {"registered", idle_budget_.is_registered()}});
+    update_gateways();
+}
+
+void session_manager::update_gateways()
 {
-    host_count_ = host_count;
     if (configuration_ == nullptr)
     {
         return;
@@ -82,7 +94,7 @@
                                      : configuration_->customers.begin()->first;
     for (const auto& [name, definition] : configuration_->services)
     {
-        gateway(name).set_definition(definition, host_count_, customer);
+        gateway(name).set_definition(definition, idle_budget_, customer);
     }
 }
 
--- a/src/pooling/session_manager.hpp
+++ b/src/pooling/session_manager.hpp
@@ -15,6 +15,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -79,8 +80,10 @@
     {
         first_rotation_ = rotation;
     }
-    /// @brief Sets the number of hosts that share the members' connections.
-    void set_host_count(std::size_t host_count);
+    /// @brief Sets the hosts that share the members' connections.
+    /// @param own this host
+    /// @param hosts registered hosts
+    void set_hosts(std::string own, const std::set<std::string>& hosts);
 
     /// @brief Starts a session that serves a client until it disconnects.
     void serve(
@@ -153,6 +156,8 @@
     }
 
 private:
+    void update_gateways();
+
     using session_list = boost::intrusive::list<
         managed_session, boost::intrusive::constant_time_size<false>>;
 
@@ -164,7 +169,7 @@
     log::event_log& events_;
     reply_recorder replies_;
     configuration_ptr configuration_;
-    std::size_t host_count_ = 1;
+    idle_budget idle_budget_;
     std::map<std::string, std::unique_ptr<service_gateway>, std::less<>>
         gateways_;
     /// A small part of the memory of the smallest hosts.
