--- a/tests/integration/integration-many_hosts.cpp
+++ b/tests/integration/integration-many_hosts.cpp
@@ -94,8 +94,10 @@
     }
 
     /// Reads at all hosts at once.
+    /// @param pause between two reads of one host
     /// @return reads by the code of the reply, empty after a success
-    std::map<std::string, int> read_everywhere()
+    std::map<std::string, int>
+    read_everywhere(std::chrono::milliseconds pause = 100ms)
     {
         std::mutex mutex;
         std::map<std::string, int> replies;
@@ -103,7 +105,7 @@
         for (std::size_t index = 0; index < host_count; ++index)
         {
             callers.emplace_back(
-                [this, index, &mutex, &replies]
+                [this, index, pause, &mutex, &replies]
                 {
                     line_caller caller(proxies_[index]->address());
                     caller.start("bounded", key_of(index));
@@ -114,7 +116,7 @@
                             const std::lock_guard lock(mutex);
                             ++replies[code];
                         }
-                        std::this_thread::sleep_for(100ms);
+                        std::this_thread::sleep_for(pause);
                     }
                 });
         }
@@ -190,3 +192,18 @@
         "reason=\"too_many\"} ";
     EXPECT_EQ(sum_of(failed), 0);
 }
+
+// Guards against hosts that open a connection for each request, because their
+// part of a member's idle connections is below one.
+TEST_F(many_hosts, reads_far_apart_find_idle_connections)
+{
+    const std::string opened = "zinniahub_connections_opened{service=\"ledger\""
+                               "} ";
+    const auto opened_before = sum_of(opened);
+    auto replies = read_everywhere(400ms);
+    const auto all_reads = static_cast<int>(host_count) * reads_per_host;
+    EXPECT_GE(replies[""], all_reads - all_reads / 50);
+    const auto set_ups = sum_of(opened) - opened_before;
+    GTEST_LOG_(INFO) << set_ups << " set-ups for " << all_reads << " reads";
+    EXPECT_LT(set_ups, all_reads / 2);
+}
