Tests of clients that take more than their part of a process

Clients that nobody controls can take the memory and the descriptors of a process: nothing bounds unfinished messages, replies that are not read, unfinished STARTUPs, session state, or connections to any of the ports.

--- a/tests/support/hosted_proxy.cpp
+++ b/tests/support/hosted_proxy.cpp
@@ -193,9 +193,10 @@
 [cloud_api]
 address = "{}"
 assigned_tasks = ["promotion"]
-)",
+{})",
         name_, internal_port_, internal_port_, address_, ready_,
-        grace_period_.count(), evacuation_ms, tokens_checked_, store_, store_);
+        grace_period_.count(), evacuation_ms, tokens_checked_, store_, store_,
+        limits_);
     std::filesystem::rename(written, settings_path_);
 }
 
@@ -211,6 +212,44 @@
     write_settings(default_evacuation_ms);
 }
 
+void hosted_proxy::set_limits(
+    std::size_t memory_mb, std::size_t max_file_descriptors)
+{
+    limits_ = fmt::format(
+        "[limits]\nmemory_mb = {}\nmax_file_descriptors = {}\n", memory_mb,
+        max_file_descriptors);
+    write_settings(default_evacuation_ms);
+}
+
+std::string hosted_proxy::peer_address() const
+{
+    return fmt::format("127.0.0.1:{}", internal_port_);
+}
+
+std::size_t hosted_proxy::peak_memory_bytes() const
+{
+    std::ifstream file(fmt::format("/proc/{}/status", child_.pid()));
+    std::string line;
+    while (std::getline(file, line))
+    {
+        constexpr std::string_view name = "VmHWM:";
+        if (line.starts_with(name))
+        {
+            return std::stoul(line.substr(name.size())) * 1024;
+        }
+    }
+    return 0;
+}
+
+std::size_t hosted_proxy::descriptors() const
+{
+    std::error_code failure;
+    const std::filesystem::directory_iterator entries(
+        fmt::format("/proc/{}/fd", child_.pid()), failure);
+    return static_cast<std::size_t>(
+        std::distance(begin(entries), end(entries)));
+}
+
 void hosted_proxy::restart()
 {
     child_ = process::start(
--- a/tests/support/hosted_proxy.hpp
+++ b/tests/support/hosted_proxy.hpp
@@ -86,10 +86,21 @@
     {
         return address_;
     }
+    /// @brief IP:port of the ready probe.
+    const std::string& ready_address() const
+    {
+        return ready_;
+    }
+    /// @brief IP:port for connections from other proxies.
+    std::string peer_address() const;
     process& child()
     {
         return child_;
     }
+    /// @brief Highest resident memory of the process so far; 0 if it has ended.
+    std::size_t peak_memory_bytes() const;
+    /// @brief Open descriptors of the process.
+    std::size_t descriptors() const;
     /// @brief Waits until the ready probe answers with 200.
     bool wait_until_ready(
         std::chrono::milliseconds timeout = std::chrono::seconds(5)) const;
@@ -108,6 +119,9 @@
     /// @brief Writes the settings file with another grace period; takes effect
     /// with the next start.
     void set_grace_period(std::chrono::seconds value);
+    /// @brief Writes the settings file with the limits of the machine; takes
+    /// effect with the next start.
+    void set_limits(std::size_t memory_mb, std::size_t max_file_descriptors);
 
 private:
     std::string name_;
@@ -118,6 +132,8 @@
     /// Port for datagrams and connections between the proxies.
     unsigned short internal_port_ = 0;
     bool tokens_checked_ = true;
+    /// Section of the settings file, empty unless a test sets it.
+    std::string limits_;
     std::string settings_path_;
     std::string log_path_;
     process child_;
