--- a/include/zinniahub/session_values.hpp
+++ b/include/zinniahub/session_values.hpp
@@ -32,6 +32,12 @@
     {
     }
 
+    /// @brief Sets another limit; what is held already stays.
+    void set_limit(std::size_t limit)
+    {
+        limit_ = limit;
+    }
+
     /// @brief Takes `added` bytes in place of `released` ones.
     /// @return false, with nothing taken, if the limit would be exceeded
     bool charge(std::size_t added, std::size_t released);
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -91,7 +91,8 @@
                 in_transaction && manager_.is_ending_transactions();
             co_return in_transaction && !ends;
         }
-        if (code == errc::statement_too_large || code == errc::request_invalid)
+        if (code == errc::statement_too_large ||
+            code == errc::request_invalid || code == errc::queue_full)
         {
             co_return co_await refuse_message(next.error());
         }
@@ -112,6 +113,7 @@
     trace_ = {.started = clock::now(), .failure_code = why.code};
     auto refusal = refuse(
         why.code == errc::statement_too_large ? reply_code::too_large
+        : why.code == errc::queue_full        ? reply_code::busy
                                               : reply_code::malformed,
         why.detail);
     refusal.state = state_;
--- a/src/pooling/ports.hpp
+++ b/src/pooling/ports.hpp
@@ -96,7 +96,7 @@
     /// @return `errc::connection_lost` when the client has disconnected,
     /// `errc::wait_timeout` after `timeout`, `errc::request_invalid` for input
     /// that is not a valid message, `errc::statement_too_large` for an oversize
-    /// one
+    /// one, `errc::queue_full` for one that there is no memory for
     virtual awaitable<result<statement>> next(duration timeout) = 0;
 
     /// @brief Sends a complete reply.
