--- a/src/lib/client_budget.cpp
+++ b/src/lib/client_budget.cpp
@@ -19,7 +19,7 @@
 
 /// Memory of a session at rest with its floor, an upper bound of what
 /// docs/CAPACITY.md gives.
-constexpr std::size_t connection_bytes = 10 * std::size_t{1024};
+constexpr std::size_t connection_bytes = 12 * std::size_t{1024};
 
 /// Descriptors for files, members, other hosts and the store.
 constexpr std::size_t reserved_descriptors = 200;
@@ -30,6 +30,10 @@
 /// A host uses about four connections; further ones find another host.
 constexpr std::size_t host_connections = 64;
 
+/// Sessions that may come to one host at once after failures elsewhere. All may
+/// connect before the first of them is read.
+constexpr std::size_t sessions_at_once = 4000;
+
 /// Descriptors that remain for clients on any machine.
 constexpr std::size_t min_client_connections = 16;
 
@@ -53,7 +57,8 @@
     limits result;
     result.message_bytes = message_percent * percent;
     result.session_bytes = session_percent * percent;
-    result.ports[index_of(port::clients)] = {clients, (clients + 1) / 2};
+    result.ports[index_of(port::clients)] = {
+        clients, std::min(clients, std::max(sessions_at_once, clients / 2))};
     result.ports[index_of(port::probes)] = {
         probe_connections, probe_connections};
     result.ports[index_of(port::hosts)] = {host_connections, host_connections};
--- a/tests/integration/integration-platform_clients.cpp
+++ b/tests/integration/integration-platform_clients.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <functional>
 #include <netinet/in.h>
 #include <poll.h>
@@ -379,3 +380,47 @@
     clients.send(request, 16 * kib);
     expect_service();
 }
+
+// Prints the memory of sessions for docs/CAPACITY.md; only with
+// CLIENT_MEMORY=1.
+TEST(platform_clients_by_hand, memory_of_sessions)
+{
+    if (std::getenv("CLIENT_MEMORY") == nullptr)
+    {
+        GTEST_SKIP() << "CLIENT_MEMORY is not set";
+    }
+    constexpr std::size_t count = 4000;
+    hosted_platform platform;
+    platform.configure(1, {{"alba", "key-a"}}, 20000);
+    hosted_proxy proxy(platform, "n1");
+    ASSERT_TRUE(proxy.wait_until_ready());
+    std::this_thread::sleep_for(reading_time);
+    const auto print = [&proxy](const std::string& what, std::size_t before)
+    {
+        const auto growth = proxy.peak_memory_bytes() - before;
+        fmt::print(
+            "{}: {} bytes more, {} a session, {} descriptors\n", what, growth,
+            growth / count, proxy.descriptors());
+    };
+    auto before = proxy.peak_memory_bytes();
+    {
+        line_caller caller(proxy.address());
+        caller.start("latest", "key-a");
+        caller.run(largest_read());
+        print("one largest message", before);
+    }
+    proxy.restart();
+    ASSERT_TRUE(proxy.wait_until_ready());
+    std::this_thread::sleep_for(reading_time);
+    before = proxy.peak_memory_bytes();
+    crowd clients(proxy.address(), count);
+    clients.start();
+    std::this_thread::sleep_for(reading_time);
+    print("at rest", before);
+    clients.send([](std::size_t) { return unfinished(3 * kib); }, kib);
+    std::this_thread::sleep_for(reading_time);
+    print("with 3 KiB of a message", before);
+    clients.send([](std::size_t) { return std::string(64 * kib, 'x'); }, kib);
+    std::this_thread::sleep_for(reading_time);
+    print("with 67 KiB of a message", before);
+}
--- a/tests/unit/unit-client_budget.cpp
+++ b/tests/unit/unit-client_budget.cpp
@@ -130,6 +130,7 @@
 {
     const auto values = client_budget::limits::of(160, 4200);
     EXPECT_GE(values.ports.front().connections, 4000U);
+    EXPECT_GE(values.ports.front().waiting, 4000U);
     EXPECT_GE(values.message_bytes, std::size_t{8} << 20);
     EXPECT_GT(client_budget::limits::of(1, 10).ports.front().connections, 0U);
 }
--- a/tests/unit/unit-platform_records.cpp
+++ b/tests/unit/unit-platform_records.cpp
@@ -192,8 +192,13 @@
 [cloud_api]
 address = "10.200.0.2:8466"
 assigned_tasks = ["promotion"]
+[limits]
+memory_mb = 320
+max_file_descriptors = -1
 )");
     ASSERT_TRUE(settings);
+    EXPECT_EQ(settings->memory_mb, 320U);
+    EXPECT_EQ(settings->max_file_descriptors, 4200U);
     EXPECT_EQ(settings->node, "frontend-1");
     EXPECT_EQ(settings->peer_address, "10.1.0.26:7560");
     EXPECT_EQ(settings->store_address, "10.200.1.7:8466");
