Keep the duty of promotions while the store answers no host

A host that called the store through another host gave up the duty as soon as its own path was lost. During an outage of the store for all hosts, old offers remain, so the holder gave the duty up although no other host could take it. It is now ineligible only while the store answered a call through another host within the last 2 s.

The call that ends the lease was made once. If it failed, no host could take the duty for the rest of the lease. It is now repeated until it is answered or the lease has ended.

--- a/include/zinniahub/store_path_selector.hpp
+++ b/include/zinniahub/store_path_selector.hpp
@@ -28,6 +28,9 @@
         duration offering_limit = std::chrono::seconds(3);
         /// Time for which a received offer may be used.
         duration offer_lifetime = std::chrono::seconds(10);
+        /// Age of the last answer through another host up to which this host
+        /// counts as served through it.
+        duration relayed_answer_lifetime = std::chrono::seconds(2);
         /// Offers that are kept.
         std::size_t max_offers = 8;
     };
@@ -50,12 +53,17 @@
     void on_offer(std::string_view address, time_point now);
     /// @brief A call through this host failed, as for `on_direct_failure`.
     void on_relay_failure(std::string_view address);
+    /// @brief A call through another host was answered by the store.
+    void on_relay_answer(time_point now);
 
     /// @brief The store does not serve this host itself.
     bool is_direct_lost(time_point now) const;
     /// @brief Address of the host through which to call; empty for a call of
     /// this host itself.
     std::string relay(time_point now) const;
+    /// @brief The store answers other hosts but not this one. An offer does not
+    /// show that: it may be older than an outage of the store for all hosts.
+    bool is_served_through_relay(time_point now) const;
     /// @brief Whether this host can forward calls of others.
     bool can_offer(time_point now) const;
 
@@ -69,6 +77,7 @@
     settings settings_{};
     time_point answered_at_ = time_point::min();
     std::optional<time_point> failing_since_;
+    time_point relay_answered_at_ = time_point::min();
     /// In the order in which they were first heard; the first one is used until
     /// it fails or expires.
     std::vector<offer> offers_;
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -21,6 +21,10 @@
 constexpr duration status_timeout = std::chrono::milliseconds(350);
 constexpr duration connect_timeout = std::chrono::milliseconds(350);
 
+/// Pause between calls to end the lease of a duty that was given up. The lease
+/// keeps other hosts from the duty until it ends.
+constexpr duration release_retry_pause = std::chrono::milliseconds(250);
+
 /// Name under which status connections are opened.
 constexpr std::string_view control_customer = "zinniahub";
 
@@ -253,7 +257,16 @@
 {
     const auto lease = lease_id_;
     on_leadership_lost(reason);
-    co_await store_.revoke_lease(lease);
+    const auto ends_at = clock::now() + settings_.ttl;
+    asio::steady_timer timer(io_);
+    auto ended = co_await store_.revoke_lease(lease);
+    while (!ended && ended.error().code != errc::lease_expired &&
+           clock::now() < ends_at)
+    {
+        timer.expires_after(release_retry_pause);
+        co_await timer.async_wait(asio::use_awaitable);
+        ended = co_await store_.revoke_lease(lease);
+    }
 }
 
 awaitable<void> promotion_coordinator::run_planner()
--- a/src/coordination/promotion_coordinator.hpp
+++ b/src/coordination/promotion_coordinator.hpp
@@ -122,6 +122,7 @@
     awaitable<void> renew_lease();
     void on_leadership_lost(std::string_view reason);
     /// Ends the lease at once, so that another host can acquire the duty.
+    /// Repeats the call until it is answered or the lease has ended anyway.
     awaitable<void> release_leadership(std::string_view reason);
     awaitable<void> load_groups();
     void load_group(const stored_item& item);
--- a/src/lib/store_path_selector.cpp
+++ b/src/lib/store_path_selector.cpp
@@ -45,6 +45,11 @@
         offers_, [&](const offer& entry) { return entry.address == address; });
 }
 
+void store_path_selector::on_relay_answer(time_point now)
+{
+    relay_answered_at_ = std::max(relay_answered_at_, now);
+}
+
 bool store_path_selector::is_direct_lost(time_point now) const
 {
     return failing_since_ &&
@@ -65,6 +70,12 @@
     return found == offers_.end() ? std::string{} : found->address;
 }
 
+bool store_path_selector::is_served_through_relay(time_point now) const
+{
+    return is_direct_lost(now) && relay_answered_at_ != time_point::min() &&
+           now - relay_answered_at_ < settings_.relayed_answer_lifetime;
+}
+
 bool store_path_selector::can_offer(time_point now) const
 {
     return !failing_since_ && answered_at_ != time_point::min() &&
--- a/tests/unit/unit-promotion_coordinator.cpp
+++ b/tests/unit/unit-promotion_coordinator.cpp
@@ -50,6 +50,11 @@
     awaitable<result<void>> revoke_lease(std::uint64_t) override
     {
         ++ended;
+        if (failing_ends > 0)
+        {
+            --failing_ends;
+            co_return fail(errc::platform_unavailable);
+        }
         co_return result<void>{};
     }
     time_point last_answer_at() const override
@@ -65,6 +70,8 @@
     stored_item item;
     std::function<void()> on_grant = [] {};
     int ended = 0;
+    /// Calls to end a lease that fail before one succeeds.
+    int failing_ends = 0;
 };
 
 class failing_promotion_api : public promotion_api
@@ -158,3 +165,16 @@
     EXPECT_EQ(state.item.value, "a");
     EXPECT_EQ(state.ended, 1);
 }
+
+// Guards against a duty that no host can acquire for the rest of the lease,
+// because the call that ends the lease failed once.
+TEST_F(duty, ends_its_lease_although_the_first_call_fails)
+{
+    io.run_for(400ms);
+    ASSERT_TRUE(coordinator.is_leader(clock::now()));
+    state.failing_ends = 1;
+    coordinator.set_eligible(false);
+    io.run_for(800ms);
+    EXPECT_EQ(state.ended, 2);
+    EXPECT_FALSE(coordinator.is_leader(clock::now()));
+}
--- a/tests/unit/unit-store_path_selector.cpp
+++ b/tests/unit/unit-store_path_selector.cpp
@@ -78,3 +78,20 @@
     paths.on_direct_failure(start + 3s, start + 3s);
     EXPECT_FALSE(paths.can_offer(start + 3s));
 }
+
+// Guards against giving up the duty of promotions while the store is down for
+// all hosts: an offer from before the outage remains, but no call through the
+// other host is answered.
+TEST(store_path_selector, offer_alone_does_not_show_that_others_are_served)
+{
+    store_path_selector paths;
+    paths.on_direct_answer(start);
+    paths.on_offer(first, start);
+    paths.on_direct_failure(start + 1ms, start + 10ms);
+    ASSERT_EQ(paths.relay(start + 1s), first);
+    EXPECT_FALSE(paths.is_served_through_relay(start + 1s));
+    paths.on_relay_answer(start + 1s);
+    EXPECT_TRUE(paths.is_served_through_relay(start + 1s));
+    EXPECT_TRUE(paths.is_served_through_relay(start + 2900ms));
+    EXPECT_FALSE(paths.is_served_through_relay(start + 3s));
+}
