--- a/include/zinniahub/upstream_directory.hpp
+++ b/include/zinniahub/upstream_directory.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace zinniahub
@@ -92,6 +93,13 @@
     void on_listed(const std::vector<upstream_record>& records, time_point now);
     void
     on_domains_evacuated(const std::set<std::string>& domains, time_point now);
+    /// @brief Sets the failure domains whose members this host cannot reach,
+    /// and whether its own is cut off from all others.
+    void on_domains_unreachable(std::set<std::string> domains, bool cut_off)
+    {
+        unreachable_ = std::move(domains);
+        cut_off_ = cut_off;
+    }
     /// @brief Removes members whose registrations have been missing for longer
     /// than `missing_retention`.
     void on_tick(time_point now);
@@ -120,6 +128,16 @@
     {
         return evacuated_.contains(domain);
     }
+    /// @brief True if this host cannot reach the member's failure domain.
+    bool is_out_of_reach(const upstream_state& member) const
+    {
+        return unreachable_.contains(member.record.failure_domain);
+    }
+    /// @brief True if the failure domain of this host is cut off.
+    bool is_cut_off() const
+    {
+        return cut_off_;
+    }
 
 private:
     void update_stop_time(upstream_state& member, time_point now);
@@ -127,6 +145,8 @@
     settings settings_;
     std::map<std::string, upstream_state, std::less<>> members_;
     std::set<std::string, std::less<>> evacuated_;
+    std::set<std::string> unreachable_;
+    bool cut_off_ = false;
 };
 
 } // namespace zinniahub
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -252,7 +252,11 @@
     while (trace_.attempts < max_attempts)
     {
         ++trace_.attempts;
-        std::optional<reply> answer;
+        auto answer = check_reach(request, is_read && may_use_replica());
+        if (answer)
+        {
+            co_return std::move(*answer);
+        }
         if (is_read && may_use_replica() && !request.needs_primary)
         {
             answer = co_await read_on_member(value, request);
@@ -284,6 +288,22 @@
     co_return refuse(reply_code::busy, "no member accepted the request");
 }
 
+std::optional<reply>
+client_session::check_reach(const access_request& request, bool on_replica)
+{
+    const auto max_staleness =
+        on_replica ? std::optional(route_->max_staleness) : std::nullopt;
+    if (!manager_.gateway(route_->service)
+             .is_out_of_reach(request, max_staleness, clock::now()))
+    {
+        return std::nullopt;
+    }
+    trace_.failure_code = errc::member_unreachable;
+    return refuse_unsent(
+        errc::member_unreachable,
+        "the failure domain of this host is cut off from the others");
+}
+
 bool client_session::may_use_replica() const
 {
     return route_->consistency != read_consistency::latest;
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -79,6 +79,11 @@
     void roll_back_transaction();
 
     access_request make_request(const statement& value) const;
+    /// Refuses a request that needs a member which cannot be reached because
+    /// the failure domain of this host is cut off.
+    /// @param on_replica a replica may run the request
+    std::optional<reply>
+    check_reach(const access_request& request, bool on_replica);
     const prepared_statement* find_prepared(const statement& value) const;
     bool writes(const statement& value) const;
     /// Decides whether a commit that the member acknowledged may be reported as
--- a/src/pooling/client_transaction.cpp
+++ b/src/pooling/client_transaction.cpp
@@ -69,6 +69,10 @@
     while (trace_.attempts < max_attempts)
     {
         ++trace_.attempts;
+        if (auto refused = check_reach(request, !on_primary))
+        {
+            co_return refused;
+        }
         auto failure = co_await begin_on_member(request, on_primary);
         if (failure || connection_)
         {
--- a/src/pooling/connection_opener.cpp
+++ b/src/pooling/connection_opener.cpp
@@ -41,6 +41,10 @@
     const auto number = ++opened_;
     auto link = co_await connector_.connect(target, limit);
     auto& pool = pools_.of(target.instance);
+    if (link || link.error().cause == connect_failure::reason::rejected)
+    {
+        pool.on_contact(clock::now());
+    }
     if (!link)
     {
         pool.on_connect_failed(link.error(), clock::now());
--- a/src/pooling/member_choice.cpp
+++ b/src/pooling/member_choice.cpp
@@ -51,6 +51,12 @@
     return registered ? 2 : 3;
 }
 
+std::tuple<int, duration> primary_cost(
+    const member_view& view, const upstream_state& member, time_point now)
+{
+    return {primary_rank(view, member), age_of(member.primary_since, now)};
+}
+
 bool is_excluded(const read_requirements& needs, const std::string& instance)
 {
     return std::find(needs.excluded.begin(), needs.excluded.end(), instance) !=
@@ -67,20 +73,36 @@
     for (const auto& [instance, member] : view.directory.members())
     {
         const auto* pool = view.pools.find(instance);
-        const bool avoided = pool != nullptr && (pool->denied_primary(now) ||
-                                                 pool->is_suspect(now));
+        const bool avoided = view.directory.is_out_of_reach(member) ||
+                             (pool != nullptr && (pool->denied_primary(now) ||
+                                                  pool->is_suspect(now)));
         if (member.record.service == view.service && !avoided &&
             view.directory.accepts_open_operations(member, now))
         {
-            ranked.push_back(
-                {{primary_rank(view, member),
-                  age_of(member.primary_since, now)},
-                 &member});
+            ranked.push_back({primary_cost(view, member, now), &member});
         }
     }
     return in_order(std::move(ranked));
 }
 
+bool is_primary_out_of_reach(const member_view& view, time_point now)
+{
+    const upstream_state* likely = nullptr;
+    for (const auto& [instance, member] : view.directory.members())
+    {
+        const bool is_known = instance == view.primary.instance ||
+                              member.primary_since != time_point::min();
+        if (member.record.service == view.service && is_known &&
+            view.directory.accepts_open_operations(member, now) &&
+            (likely == nullptr || primary_cost(view, member, now) <
+                                      primary_cost(view, *likely, now)))
+        {
+            likely = &member;
+        }
+    }
+    return likely != nullptr && view.directory.is_out_of_reach(*likely);
+}
+
 std::vector<const upstream_state*> read_candidates(
     const member_view& view, const read_requirements& needs, time_point now)
 {
@@ -91,6 +113,7 @@
     {
         if (member.record.service != view.service ||
             is_excluded(needs, instance) ||
+            view.directory.is_out_of_reach(member) ||
             !view.directory.accepts_new_operations(member, now))
         {
             continue;
--- a/src/pooling/member_choice.hpp
+++ b/src/pooling/member_choice.hpp
@@ -49,6 +49,10 @@
 std::vector<const upstream_state*>
 primary_candidates(const member_view& view, time_point now);
 
+/// @brief True if the most likely primary is in a failure domain that this host
+/// cannot reach; false if no member is known to be the primary.
+bool is_primary_out_of_reach(const member_view& view, time_point now);
+
 /// @brief Members whose log probably reaches the position, in the order in
 /// which a read should try them: by the cost of a connection, then by load.
 std::vector<const upstream_state*> read_candidates(
--- a/src/pooling/member_pool.hpp
+++ b/src/pooling/member_pool.hpp
@@ -5,6 +5,7 @@
 #include <zinniahub/concurrency_limit.hpp>
 #include <zinniahub/session_values.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 #include <memory>
@@ -130,6 +131,16 @@
     {
         return last_answer_at_;
     }
+    /// @brief The member answered a connection attempt.
+    void on_contact(time_point now)
+    {
+        contact_at_ = now;
+    }
+    /// @brief Last answer to a call or to a connection attempt.
+    time_point last_contact_at() const
+    {
+        return std::max(contact_at_, last_answer_at_);
+    }
     void on_call_sent(time_point sent_at)
     {
         calls_.insert(sent_at);
@@ -186,6 +197,7 @@
     std::multiset<time_point> calls_;
     concurrency_limit concurrency_;
     time_point last_answer_at_ = time_point::min();
+    time_point contact_at_ = time_point::min();
 
     limits limits_;
     std::list<pooled_connection_ptr> idle_;
--- a/src/pooling/primary_sampling.cpp
+++ b/src/pooling/primary_sampling.cpp
@@ -342,6 +342,7 @@
         const auto* pool = pools_.find(instance);
         if (member.record.service == definition_.name && instance != primary &&
             member.missing_since == never &&
+            !directory_.is_out_of_reach(member) &&
             now - newcomer_delay > member.known_since &&
             (pool == nullptr || !pool->is_suspect(now)))
         {
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -298,6 +298,71 @@
     }
 }
 
+bool service_gateway::is_out_of_reach(
+    const access_request& request, std::optional<duration> max_staleness,
+    time_point now)
+{
+    if (!directory_.is_cut_off())
+    {
+        return false;
+    }
+    const bool no_primary = is_primary_out_of_reach(view(), now);
+    const auto position = max_staleness && !request.needs_primary
+                              ? required_position(now, *max_staleness)
+                              : std::nullopt;
+    if (!position)
+    {
+        return no_primary;
+    }
+    return read_candidates(
+               view(),
+               {request.customer, *position, request.excluded, rotation_}, now)
+        .empty();
+}
+
+void service_gateway::add_answer_times(
+    std::map<std::string, time_point, std::less<>>& times) const
+{
+    for (const auto& [instance, member] : directory_.members())
+    {
+        if (member.record.service != definition_.name ||
+            member.missing_since != never)
+        {
+            continue;
+        }
+        auto& newest =
+            times.try_emplace(member.record.failure_domain, time_point::min())
+                .first->second;
+        const auto* pool = pools_.find(instance);
+        if (pool != nullptr)
+        {
+            newest = std::max(newest, pool->last_contact_at());
+        }
+    }
+}
+
+std::size_t
+service_gateway::try_members(std::string_view domain, std::size_t limit)
+{
+    std::vector<const upstream_state*> members;
+    for (const auto& [instance, member] : directory_.members())
+    {
+        if (member.record.service == definition_.name &&
+            member.record.failure_domain == domain &&
+            member.missing_since == never && !last_customer_.empty())
+        {
+            members.push_back(&member);
+        }
+    }
+    const auto count = std::min(limit, members.size());
+    for (std::size_t number = 0; number < count; ++number)
+    {
+        const auto& member = *members[tries_++ % members.size()];
+        opener_.probe(address_of(member, last_customer_));
+    }
+    return count;
+}
+
 service_gateway::member_counts service_gateway::count_members() const
 {
     member_counts count;
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -174,6 +174,14 @@
         std::string_view instance, time_point sent_at,
         std::optional<log_position> position);
 
+    /// @brief True if the failure domain of this host is cut off and the
+    /// request needs a member outside of it: waiting would be in vain.
+    /// @param max_staleness of a read that a replica may run; none if the
+    /// primary is needed
+    bool is_out_of_reach(
+        const access_request& request, std::optional<duration> max_staleness,
+        time_point now);
+
     bool
     may_use_open_connection(std::string_view instance, time_point now) const;
 
@@ -195,6 +203,14 @@
         std::size_t open = 0;
     };
     std::vector<member_connections> connection_counts() const;
+    /// @brief Last answer of any member of each failure domain with registered
+    /// members; `time_point::min()` if there was none.
+    void add_answer_times(
+        std::map<std::string, time_point, std::less<>>& times) const;
+    /// @brief Opens connections to members of a failure domain, to see whether
+    /// they answer.
+    /// @return number of members, at most `limit`
+    std::size_t try_members(std::string_view domain, std::size_t limit);
     std::size_t waiting_requests() const;
     std::uint64_t opened() const
     {
@@ -314,6 +330,8 @@
     time_point last_uncongested_at_ = time_point::min();
     /// Customer whose connection the sampler uses.
     std::string last_customer_;
+    /// Number of calls of `try_members`, so that members are tried in turn.
+    std::size_t tries_ = 0;
     /// Rotation of the next read.
     std::uint64_t rotation_;
     restore_counts restores_;
--- a/src/pooling/session_manager.cpp
+++ b/src/pooling/session_manager.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <exception>
 #include <string>
 #include <vector>
@@ -17,6 +18,11 @@
 namespace
 {
 
+/// Members of a silent failure domain that are tried: a connection takes a slot
+/// of the member while it is set up.
+constexpr std::size_t max_tried_members = 4;
+constexpr std::size_t max_tried_members_of_service = 2;
+
 std::string describe(const std::exception_ptr& failure)
 {
     try
@@ -169,6 +175,27 @@
     return total;
 }
 
+std::map<std::string, time_point, std::less<>>
+session_manager::answer_times() const
+{
+    std::map<std::string, time_point, std::less<>> times;
+    for (const auto& [name, entry] : gateways_)
+    {
+        entry->add_answer_times(times);
+    }
+    return times;
+}
+
+void session_manager::try_members(std::string_view domain)
+{
+    auto left = max_tried_members;
+    for (const auto& [name, entry] : gateways_)
+    {
+        left -= entry->try_members(
+            domain, std::min(left, max_tried_members_of_service));
+    }
+}
+
 void session_manager::on_tick()
 {
     for (auto& [name, entry] : gateways_)
--- a/src/pooling/session_manager.hpp
+++ b/src/pooling/session_manager.hpp
@@ -97,6 +97,12 @@
     }
     /// @brief Counts the members of all services, and the unreachable ones.
     service_gateway::member_counts count_members() const;
+    /// @brief Last answer of any member of each failure domain with registered
+    /// members; `time_point::min()` if there was none.
+    std::map<std::string, time_point, std::less<>> answer_times() const;
+    /// @brief Opens connections to a few members of a failure domain, to see
+    /// whether they answer.
+    void try_members(std::string_view domain);
     /// @brief Ends open transactions with their next statement.
     void end_transactions();
     std::size_t sessions() const
--- a/tests/support/hosted_proxy.cpp
+++ b/tests/support/hosted_proxy.cpp
@@ -27,6 +27,15 @@
 
 constexpr unsigned default_evacuation_ms = 5000;
 
+/// Settings of a platform with three failure domains that are watched.
+constexpr std::string_view watched_domains = R"([fault_tolerance]
+zones = 1
+[zones]
+zone-0 = []
+zone-1 = []
+zone-2 = []
+)";
+
 std::string next_id()
 {
     static std::atomic<unsigned> count{0};
@@ -152,8 +161,10 @@
 }
 
 hosted_proxy::hosted_proxy(
-    const hosted_platform& platform, const std::string& name)
+    const hosted_platform& platform, const std::string& name,
+    const std::string& domain)
     : name_(name)
+    , domain_(domain)
     , address_(free_address())
     , ready_(free_address())
 {
@@ -174,7 +185,7 @@
     const auto written = settings_path_ + ".new";
     std::ofstream(written) << fmt::format(
         R"(node_name = "{}"
-zone = "zone-0"
+zone = "{}"
 ip_address = "127.0.0.1"
 internal_port_range = [{}, {}]
 [listen_addrs]
@@ -193,9 +204,11 @@
 [cloud_api]
 address = "{}"
 assigned_tasks = ["promotion"]
-)",
-        name_, internal_port_, internal_port_, address_, ready_,
-        grace_period_.count(), evacuation_ms, tokens_checked_, store_, store_);
+{})",
+        name_, domain_.empty() ? "zone-0" : domain_, internal_port_,
+        internal_port_, address_, ready_, grace_period_.count(), evacuation_ms,
+        tokens_checked_, store_, store_,
+        domain_.empty() ? "" : watched_domains);
     std::filesystem::rename(written, settings_path_);
 }
 
--- a/tests/support/hosted_proxy.hpp
+++ b/tests/support/hosted_proxy.hpp
@@ -80,7 +80,11 @@
 class hosted_proxy
 {
 public:
-    hosted_proxy(const hosted_platform& platform, const std::string& name);
+    /// @param domain failure domain, one of "zone-0" to "zone-2", as those of
+    /// the members; without it, domains are not watched
+    hosted_proxy(
+        const hosted_platform& platform, const std::string& name,
+        const std::string& domain = {});
 
     const std::string& address() const
     {
@@ -111,6 +115,7 @@
 
 private:
     std::string name_;
+    std::string domain_;
     std::string address_;
     std::string ready_;
     std::string store_;
--- a/tests/unit/unit-member_choice.cpp
+++ b/tests/unit/unit-member_choice.cpp
@@ -164,3 +164,23 @@
 }
 
 } // namespace
+
+// Guards against requests that wait for members of a failure domain which this
+// host cannot reach, and against taking another member for the primary.
+TEST_F(choice, members_out_of_reach_are_passed_over)
+{
+    auto record = directory.members().find("m0")->second.record;
+    record.failure_domain = "far";
+    ++record.sequence;
+    directory.on_registered(record, start);
+    EXPECT_FALSE(is_primary_out_of_reach(view(), now));
+    directory.on_domains_unreachable({"far"}, true);
+    EXPECT_EQ(readers({}), (std::vector<std::string>{"m1", "m2"}));
+    EXPECT_NE(primaries().front(), "m0");
+    EXPECT_TRUE(is_primary_out_of_reach(view(), now));
+    EXPECT_NE(
+        directory.members().find("m0")->second.primary_since,
+        time_point::min());
+    directory.on_domains_unreachable({}, false);
+    EXPECT_EQ(primaries().front(), "m0");
+}
--- a/tests/unit/unit-platform_records.cpp
+++ b/tests/unit/unit-platform_records.cpp
@@ -203,3 +203,22 @@
     EXPECT_EQ(parse_settings("zone = 1").error().code, errc::settings_missing);
     EXPECT_EQ(parse_settings("zone =").error().code, errc::settings_syntax);
 }
+
+// Guards against heartbeats where the settings do not ask for them.
+TEST(platform_records, failure_domains_are_watched_only_where_settings_say_so)
+{
+    const auto enabled = [](std::string_view extra)
+    {
+        const auto settings = parse_settings(
+            std::string("node_name = \"n\"\n") + std::string(extra) +
+            "[listen_addrs]\nfrontend = \"10.1.0.2:1\"\nready = "
+            "\"10.1.0.2:2\"\n[platform]\naddress = \"10.1.0.1:3\"\n");
+        return settings && settings->domain_watch_enabled;
+    };
+    EXPECT_FALSE(enabled(""));
+    EXPECT_FALSE(enabled("[zones]\na = [\"10.1.0.0/24\"]\nb = []\n"));
+    EXPECT_FALSE(enabled("[fault_tolerance]\nzones = 1\n[zones]\na = []\n"));
+    EXPECT_TRUE(
+        enabled("[fault_tolerance]\nzones = 1\n[zones]\na = []\nb = []\n"));
+    EXPECT_TRUE(enabled("zones = [\"a\", \"b\"]\nfault_tolerance.zones = 1\n"));
+}
