--- a/src/coordination/duty_lease.cpp
+++ b/src/coordination/duty_lease.cpp
@@ -17,6 +17,10 @@
 
 constexpr duration tick_interval = std::chrono::milliseconds(100);
 
+/// Pause between calls to end the lease of a duty that was given up. The lease
+/// keeps other hosts from the duty until it ends.
+constexpr duration release_retry_pause = std::chrono::milliseconds(250);
+
 } // namespace
 
 duty_lease::duty_lease(
@@ -212,7 +216,16 @@
 {
     const auto lease = lease_id_;
     on_lost(reason);
-    co_await store_.revoke_lease(lease);
+    const auto ends_at = clock::now() + settings_.ttl;
+    asio::steady_timer timer(io_);
+    auto ended = co_await store_.revoke_lease(lease);
+    while (!ended && ended.error().code != errc::lease_expired &&
+           clock::now() < ends_at)
+    {
+        timer.expires_after(release_retry_pause);
+        co_await timer.async_wait(asio::use_awaitable);
+        ended = co_await store_.revoke_lease(lease);
+    }
 }
 
 } // namespace zinniahub::coordination
--- a/src/pooling/member_pool.hpp
+++ b/src/pooling/member_pool.hpp
@@ -6,6 +6,7 @@
 #include <zinniahub/idle_budget.hpp>
 #include <zinniahub/session_values.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 #include <memory>
@@ -148,6 +149,16 @@
     {
         return last_answer_at_;
     }
+    /// @brief The member answered a connection attempt.
+    void on_contact(time_point now)
+    {
+        contact_at_ = now;
+    }
+    /// @brief Last answer to a call or to a connection attempt.
+    time_point last_contact_at() const
+    {
+        return std::max(contact_at_, last_answer_at_);
+    }
     void on_call_sent(time_point sent_at)
     {
         calls_.insert(sent_at);
@@ -204,6 +215,7 @@
     std::multiset<time_point> calls_;
     concurrency_limit concurrency_;
     time_point last_answer_at_ = time_point::min();
+    time_point contact_at_ = time_point::min();
 
     limits limits_;
     std::uint32_t max_idle_ = 0;
