--- a/include/zinniahub/fair_queue.hpp
+++ b/include/zinniahub/fair_queue.hpp
@@ -28,6 +28,8 @@
     /// Queue of the customer that holds the entry, or nullptr. Set by
     /// `fair_queue`.
     void* owning_queue = nullptr;
+    /// Number of the entry in the order of `fair_queue::push`.
+    std::uint64_t arrival = 0;
     /// Hook for the index of entries by deadline.
     boost::intrusive::set_member_hook<
         boost::intrusive::link_mode<boost::intrusive::safe_link>>
@@ -66,6 +68,18 @@
     /// @complexity amortised constant
     queue_entry* pop();
 
+    /// @brief Puts an entry that `pop` returned back to its place in the
+    /// customer's queue and gives the customer its turn again.
+    /// @complexity linear in earlier entries of the customer
+    void restore(
+        std::string_view customer, std::uint32_t weight, queue_entry& entry);
+
+    /// @brief Removes and returns the newest entry of the queue that is the
+    /// longest relative to its weight, if that queue is longer than the given
+    /// size; nullptr otherwise.
+    /// @complexity linear in customers
+    queue_entry* shed_longer_than(std::size_t size, std::uint32_t weight);
+
     /// @brief Removes and returns the entry with the earliest deadline if that
     /// deadline has passed, or nullptr.
     /// @complexity amortised constant
@@ -79,6 +93,11 @@
     std::size_t size() const;
     std::size_t size_of(std::string_view customer) const;
 
+    /// @brief Number of entries that are served before a new entry of the
+    /// customer, if no others are added and all weights are equal.
+    /// @complexity linear in customers
+    std::size_t ahead_of(std::string_view customer) const;
+
 private:
     using entry_list = boost::intrusive::list<queue_entry>;
 
@@ -122,6 +141,7 @@
 
     customer_queue& queue_of(std::string_view customer);
     customer_queue* longest_queue() const;
+    void link(customer_queue& queue, queue_entry& entry);
     result<queue_entry*>
     make_room(std::string_view customer, std::uint32_t weight);
     void append(customer_queue& queue, queue_entry& entry);
@@ -129,6 +149,7 @@
 
     settings settings_;
     std::size_t size_ = 0;
+    std::uint64_t arrivals_ = 0;
     queue_map queues_;
     // Queues in the order in which they are served.
     boost::intrusive::list<customer_queue> round_;
--- a/src/lib/fair_queue.cpp
+++ b/src/lib/fair_queue.cpp
@@ -59,14 +59,24 @@
     {
         return nullptr;
     }
-    auto* longest = longest_queue();
     // Including the new entry, the customer itself may have the longest queue.
-    if (longest == nullptr ||
-        !is_longer(
-            longest->entries.size(), longest->weight, own_size + 1, weight))
+    auto* newest = shed_longer_than(own_size + 1, weight);
+    if (newest == nullptr)
     {
         return fail(errc::queue_full, "all queues are full");
     }
+    return newest;
+}
+
+queue_entry*
+fair_queue::shed_longer_than(std::size_t size, std::uint32_t weight)
+{
+    auto* longest = longest_queue();
+    if (longest == nullptr ||
+        !is_longer(longest->entries.size(), longest->weight, size, weight))
+    {
+        return nullptr;
+    }
     auto& newest = longest->entries.back();
     remove(newest);
     return &newest;
@@ -103,7 +113,28 @@
 
 void fair_queue::append(customer_queue& queue, queue_entry& entry)
 {
+    entry.arrival = ++arrivals_;
     queue.entries.push_back(entry);
+    link(queue, entry);
+}
+
+void fair_queue::restore(
+    std::string_view customer, std::uint32_t weight, queue_entry& entry)
+{
+    auto& queue = queue_of(customer);
+    queue.weight = std::max(1U, weight);
+    ++queue.deficit;
+    round_.splice(round_.begin(), round_, round_.iterator_to(queue));
+    const auto later = std::find_if(
+        queue.entries.begin(), queue.entries.end(),
+        [&entry](const queue_entry& other)
+        { return other.arrival > entry.arrival; });
+    queue.entries.insert(later, entry);
+    link(queue, entry);
+}
+
+void fair_queue::link(customer_queue& queue, queue_entry& entry)
+{
     entry.owning_queue = &queue;
     if (entry.deadline != never)
     {
@@ -180,4 +211,15 @@
     return found == queues_.end() ? 0 : found->second->entries.size();
 }
 
+std::size_t fair_queue::ahead_of(std::string_view customer) const
+{
+    const auto own = size_of(customer);
+    std::size_t ahead = 0;
+    for (const auto& [name, queue] : queues_)
+    {
+        ahead += std::min(queue->entries.size(), own + 1);
+    }
+    return std::min(ahead, size_);
+}
+
 } // namespace zinniahub
