Serve waiting requests by admission_queue; say when to repeat a refusal

Cause: `service_gateway` let waiters join again at the end of their queue each 40 ms, served priorities strictly, and lost a wake-up whose request could not use the member. Refusals named no time, or a constant (200 ms).

Change: waiters keep their place; a wake-up is passed on; a request that the queue cannot serve in time is refused at once. Without a primary this happens only if each member is known not to become usable within the request's limit. `admission::admit` returns the time of the next token. `BUSY` and `TOOMANY` refusals of requests end with `retry after N ms`, spread by the request's id. Limits of waiting (0.7 and 0.22 of the latency objective) are as before.

The new test platform_faults.refusals_tell_when_to_repeat reads fields and texts that the earlier code did not write.

--- a/src/coordination/rate_limiter.cpp
+++ b/src/coordination/rate_limiter.cpp
@@ -36,6 +36,12 @@
 /// Pause after the keepers replied without tokens.
 constexpr duration exhausted_backoff = std::chrono::milliseconds(60);
 
+/// Time after which another host probably has a token to lend again.
+constexpr duration lent_token_delay = std::chrono::milliseconds(200);
+
+/// Shortest time after which a refused operation should be repeated.
+constexpr duration min_retry_delay = std::chrono::milliseconds(5);
+
 /// Minimum time between token requests made ahead of demand.
 constexpr duration request_interval = std::chrono::milliseconds(15);
 
@@ -283,25 +289,38 @@
     }
 }
 
-awaitable<bool> rate_limiter::admit(std::string customer, std::string request)
+awaitable<pooling::admission_result>
+rate_limiter::admit(std::string customer, std::string request)
 {
     if (try_admit(customer))
     {
-        co_return true;
+        co_return pooling::admission_result{};
     }
     waiter entry(io_);
     customers_.find(customer)->second.waiters.push_back(&entry);
     wait_result outcome;
     const bool admitted = co_await wait_for_token(customer, entry, outcome);
-    if (!admitted)
+    if (admitted)
     {
-        // A customer with waiting requests is not removed.
-        auto& state = customers_.find(customer)->second;
-        state.waiters.remove(&entry);
-        ++state.counts.refused;
-        log_refusal(request, state, outcome, clock::now());
+        co_return pooling::admission_result{};
     }
-    co_return admitted;
+    // A customer with waiting requests is not removed.
+    auto& state = customers_.find(customer)->second;
+    state.waiters.remove(&entry);
+    ++state.counts.refused;
+    const auto now = clock::now();
+    log_refusal(request, state, outcome, now);
+    co_return pooling::admission_result{
+        false, time_until_token(state, outcome, now)};
+}
+
+duration rate_limiter::time_until_token(
+    const customer_state& state, const wait_result& outcome, time_point now)
+{
+    // The other hosts had no tokens, or did not answer in time.
+    const auto lent = std::max<duration>(
+        std::max(state.exhausted_until, now) - now, lent_token_delay);
+    return std::clamp<duration>(outcome.refill, min_retry_delay, lent);
 }
 
 awaitable<bool> rate_limiter::wait_for_token(
--- a/src/coordination/rate_limiter.hpp
+++ b/src/coordination/rate_limiter.hpp
@@ -46,7 +46,8 @@
     /// @brief This host's registration has changed.
     void on_registration_changed();
 
-    awaitable<bool> admit(std::string customer, std::string request) override;
+    awaitable<pooling::admission_result>
+    admit(std::string customer, std::string request) override;
     bool try_admit(std::string_view customer) override;
     void refund(std::string_view customer) override;
 
@@ -107,6 +108,10 @@
         duration refill = duration::zero();
     };
 
+    /// Time until the customer may expect a token after a refusal.
+    static duration time_until_token(
+        const customer_state& state, const wait_result& outcome,
+        time_point now);
     awaitable<bool> wait_for_token(
         const std::string& customer, waiter& entry, wait_result& outcome);
     void serve_waiters(customer_state& state, time_point now);
--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -1,5 +1,7 @@
 #include "pooling/client_session.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace zinniahub::pooling
@@ -26,11 +28,23 @@
 /// and the reply.
 constexpr duration confirmation_reserve = std::chrono::milliseconds(100);
 
+/// Time after which a request that several members did not accept should be
+/// repeated; by then a failed member is tried again.
+constexpr duration attempts_retry_delay = std::chrono::milliseconds(200);
+
 duration fraction_of(duration whole, double part)
 {
     return std::chrono::duration_cast<duration>(whole * part);
 }
 
+/// Adds to the text of a refusal when the request should be repeated.
+std::string with_retry(std::string_view text, duration retry_after)
+{
+    return fmt::format(
+        "{}, retry after {} ms", text,
+        std::chrono::ceil<std::chrono::milliseconds>(retry_after).count());
+}
+
 reply_code refusal_code(errc code)
 {
     switch (code)
@@ -213,13 +227,17 @@
         trace_.failure_code = errc::key_invalid;
         co_return refuse(reply_code::unauthorized, "unknown key");
     }
-    const bool admitted =
+    const auto verdict =
         co_await manager_.admission_control().admit(customer_, value.id);
-    if (!admitted)
+    if (!verdict.admitted)
     {
         trace_.failure_code = errc::rate_exceeded;
+        trace_.refusal = {
+            "rate", std::nullopt,
+            spread_retry_delay(verdict.retry_after, value.id)};
         co_return refuse(
-            reply_code::too_many, "rate exceeded, retry after 200 ms");
+            reply_code::too_many,
+            with_retry("rate exceeded", trace_.refusal.retry_after));
     }
     co_return std::nullopt;
 }
@@ -268,9 +286,9 @@
         // Each attempt that a member runs counts towards the rate.
         if (std::exchange(trace_.may_have_run, false))
         {
-            const bool admitted = co_await manager_.admission_control().admit(
+            const auto verdict = co_await manager_.admission_control().admit(
                 customer_, value.id);
-            if (!admitted)
+            if (!verdict.admitted)
             {
                 trace_.failure_code = errc::rate_exceeded;
                 break;
@@ -281,7 +299,7 @@
     {
         trace_.failure_code = errc::retry_budget_exhausted;
     }
-    co_return refuse(reply_code::busy, "no member accepted the request");
+    co_return refuse_after_attempts(value);
 }
 
 bool client_session::may_use_replica() const
@@ -304,16 +322,15 @@
         route_->max_staleness, request.wait_until_busy);
     if (!required)
     {
-        trace_.failure_code = errc::no_primary;
-        co_return refuse_unsent(
-            errc::no_primary, "the position of the primary is not known");
+        co_return refuse_without_position(value);
     }
     auto lease =
         co_await gateway.acquire_reader(request, with_own_commits(*required));
     if (!lease)
     {
         trace_.failure_code = lease.error().code;
-        co_return refuse_unsent(lease.error().code, "no member is available");
+        co_return refuse_unsent(
+            lease.error().code, "no member is available", request.refusal);
     }
     trace_.instance = lease->instance();
     trace_.on_replica = !gateway.is_primary(trace_.instance);
@@ -369,14 +386,15 @@
     auto& gateway = manager_.gateway(route_->service);
     if (!co_await gateway.wait_for_primary_proof(request.wait_until_busy))
     {
-        co_return refuse_without_proof();
+        co_return refuse_without_proof(value);
     }
     auto lease = co_await gateway.acquire_primary(request);
     if (!lease)
     {
         trace_.failure_code = lease.error().code;
         co_return refuse_unsent(
-            lease.error().code, "the primary is not available");
+            lease.error().code, "the primary is not available",
+            request.refusal);
     }
     trace_.instance = lease->instance();
     trace_.connected = clock::now();
@@ -497,13 +515,16 @@
     co_return true;
 }
 
-reply client_session::refuse_unsent(errc failure_code, std::string text)
+reply client_session::refuse_unsent(
+    errc failure_code, std::string_view text, const wait_refusal& why)
 {
+    trace_.refusal = why;
     if (trace_.attempts == 1)
     {
         manager_.admission_control().refund(customer_);
     }
-    return refuse(refusal_code(failure_code), std::move(text));
+    return refuse(
+        refusal_code(failure_code), with_retry(text, why.retry_after));
 }
 
 std::optional<reply> client_session::refuse_rejected(const error& failure)
@@ -516,10 +537,31 @@
     return refuse(reply_code::malformed, failure.detail);
 }
 
-reply client_session::refuse_without_proof()
+reply client_session::refuse_after_attempts(const statement& value)
+{
+    trace_.refusal = {
+        "attempts", std::nullopt,
+        spread_retry_delay(attempts_retry_delay, value.id)};
+    return refuse(
+        reply_code::busy,
+        with_retry(
+            "no member accepted the request", trace_.refusal.retry_after));
+}
+
+reply client_session::refuse_without_proof(const statement& value)
+{
+    trace_.failure_code = errc::no_primary;
+    return refuse_unsent(
+        errc::no_primary, "no replica confirms the primary",
+        manager_.gateway(route_->service).refuse_without_primary(value.id));
+}
+
+reply client_session::refuse_without_position(const statement& value)
 {
     trace_.failure_code = errc::no_primary;
-    return refuse_unsent(errc::no_primary, "no replica confirms the primary");
+    return refuse_unsent(
+        errc::no_primary, "the position of the primary is not known",
+        manager_.gateway(route_->service).refuse_without_primary(value.id));
 }
 
 reply client_session::doubt_commit()
--- a/src/pooling/client_session.hpp
+++ b/src/pooling/client_session.hpp
@@ -71,8 +71,8 @@
     run_on_primary(const statement& value, access_request& request);
     awaitable<reply> run_in_transaction(const statement& value);
     awaitable<std::optional<reply>> open_transaction(const statement& value);
-    awaitable<std::optional<reply>>
-    begin_on_member(access_request& request, bool on_primary);
+    awaitable<std::optional<reply>> begin_on_member(
+        const statement& value, access_request& request, bool on_primary);
     /// Rolls back a transaction whose key is no longer in force.
     reply end_unauthorized_transaction();
     reply on_transaction_failure(const error& failure, bool was_commit);
@@ -86,12 +86,18 @@
     awaitable<bool> confirm_commit(std::string instance, const reply& answer);
     reply refuse(reply_code code, std::string text);
     /// Refuses an operation that was not sent to a member.
-    reply refuse_unsent(errc failure_code, std::string text);
+    /// @param why the text says when the operation should be repeated
+    reply refuse_unsent(
+        errc failure_code, std::string_view text, const wait_refusal& why);
     /// Refuses an operation whose session state a member will always reject;
     /// none after other failures, which another attempt may avoid.
     std::optional<reply> refuse_rejected(const error& failure);
+    /// Refuses an operation that no member accepted in several attempts.
+    reply refuse_after_attempts(const statement& value);
     /// Refuses an operation because no member is proven to be the primary.
-    reply refuse_without_proof();
+    reply refuse_without_proof(const statement& value);
+    /// Refuses a read because the position of the primary is not known.
+    reply refuse_without_position(const statement& value);
     /// Reply to a commit that a replaced primary may have acknowledged, or that
     /// the member to be promoted may lack.
     reply doubt_commit();
--- a/src/pooling/client_transaction.cpp
+++ b/src/pooling/client_transaction.cpp
@@ -69,17 +69,17 @@
     while (trace_.attempts < max_attempts)
     {
         ++trace_.attempts;
-        auto failure = co_await begin_on_member(request, on_primary);
+        auto failure = co_await begin_on_member(value, request, on_primary);
         if (failure || connection_)
         {
             co_return failure;
         }
     }
-    co_return refuse(reply_code::busy, "no member accepted the transaction");
+    co_return refuse_after_attempts(value);
 }
 
-awaitable<std::optional<reply>>
-client_session::begin_on_member(access_request& request, bool on_primary)
+awaitable<std::optional<reply>> client_session::begin_on_member(
+    const statement& value, access_request& request, bool on_primary)
 {
     auto& gateway = manager_.gateway(route_->service);
     std::optional<log_position> required;
@@ -87,7 +87,7 @@
     {
         if (!co_await gateway.wait_for_primary_proof(request.wait_until_busy))
         {
-            co_return refuse_without_proof();
+            co_return refuse_without_proof(value);
         }
     }
     else
@@ -96,9 +96,7 @@
             route_->max_staleness, request.wait_until_busy);
         if (!required)
         {
-            trace_.failure_code = errc::no_primary;
-            co_return refuse_unsent(
-                errc::no_primary, "the position of the primary is not known");
+            co_return refuse_without_position(value);
         }
         required = with_own_commits(*required);
     }
@@ -106,7 +104,8 @@
     if (!lease)
     {
         trace_.failure_code = lease.error().code;
-        co_return refuse_unsent(lease.error().code, "no member is available");
+        co_return refuse_unsent(
+            lease.error().code, "no member is available", request.refusal);
     }
     trace_.instance = lease->instance();
     trace_.connected = clock::now();
--- a/src/pooling/member_pool.hpp
+++ b/src/pooling/member_pool.hpp
@@ -167,6 +167,16 @@
         return now < not_primary_until_;
     }
 
+    /// @brief False if the member is certainly not used as the primary before
+    /// `until`: it denied to be the primary, or it failed and no call or
+    /// connection attempt is in progress that may show otherwise.
+    bool may_become_primary(time_point until) const
+    {
+        const bool failed =
+            until < suspect_until_ && calls_.empty() && connecting_ == 0;
+        return !failed && !denied_primary(until);
+    }
+
     /// @brief A replica knows a later term than this member leads in.
     void deny_primary(time_point now);
 
--- a/src/pooling/primary_sampling.cpp
+++ b/src/pooling/primary_sampling.cpp
@@ -190,6 +190,7 @@
         led_term_ = 0;
     }
     primary_.confirmed_at = std::max(primary_.confirmed_at, sent_at);
+    primary_outage_.on_present(clock::now());
 }
 
 bool service_gateway::needs_sample(time_point now) const
@@ -258,6 +259,7 @@
     request.session = &session;
     request.wait_until = clock::now() + sample_interval;
     request.wait_until_busy = request.wait_until;
+    request.may_be_refused_early = false;
     auto lease = co_await acquire_primary(request);
     if (!lease)
     {
--- a/src/pooling/reply_recorder.cpp
+++ b/src/pooling/reply_recorder.cpp
@@ -97,6 +97,12 @@
          {"attempts", trace.attempts},
          {"waited_ms", to_milliseconds(waited)},
          {"took_ms", to_milliseconds(latency)},
+         {"refused_by", trace.refusal.reason},
+         {"expected_wait_ms",
+          trace.refusal.expected_wait
+              ? to_milliseconds(*trace.refusal.expected_wait)
+              : -1},
+         {"retry_after_ms", to_milliseconds(trace.refusal.retry_after)},
          {"configuration", origin.configuration},
          {"text", answer.text}});
 }
--- a/src/pooling/reply_recorder.hpp
+++ b/src/pooling/reply_recorder.hpp
@@ -3,6 +3,7 @@
 #include "observability/event_log.hpp"
 #include "observability/metrics.hpp"
 #include "pooling/messages.hpp"
+#include "pooling/wait_refusal.hpp"
 
 #include <zinniahub/error.hpp>
 #include <zinniahub/log_position.hpp>
@@ -33,6 +34,8 @@
     /// Position of the member's log after a commit that it acknowledged.
     std::optional<log_position> committed;
     errc failure_code = errc::request_invalid;
+    /// Set if the operation was refused before a member got it.
+    wait_refusal refusal;
 };
 
 /// @brief Session state that the log line of an operation names.
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -29,7 +29,13 @@
 /// wait less, because waiting helps only in short bursts.
 constexpr duration congestion_time = std::chrono::milliseconds(150);
 
-constexpr auto max_waiting = std::size_t{2048};
+// Reasons for which a request gets no connection.
+/// The time limit of the request is over.
+constexpr std::string_view waited = "waited";
+constexpr std::string_view queue_too_long = "queue_too_long";
+constexpr std::string_view queue_full = "queue_full";
+constexpr std::string_view no_primary = "no_primary";
+constexpr std::string_view no_fresh_replica = "no_fresh_replica";
 
 } // namespace
 
@@ -125,6 +131,7 @@
     access_request& request, purpose use, log_position position)
 {
     last_customer_ = request.customer;
+    std::optional<waiter> entry;
     while (true)
     {
         const auto now = clock::now();
@@ -141,6 +148,10 @@
         {
             members.resize(1);
         }
+        if (queue_.must_yield(use, entry ? &*entry : nullptr))
+        {
+            members.clear();
+        }
         for (const auto* member : members)
         {
             auto& pool = pools_.of(member->record.instance);
@@ -149,6 +160,10 @@
             {
                 continue;
             }
+            if (entry)
+            {
+                wake(queue_.on_taken(*entry, now));
+            }
             if (access == member_pool::availability::idle)
             {
                 co_return connection_lease(
@@ -171,11 +186,34 @@
             }
             break;
         }
-        const auto until = usable && !is_congested(clock::now())
-                               ? request.wait_until
-                               : request.wait_until_busy;
-        if (!co_await wait_for_release(request, use, until))
+        const auto looked_at = clock::now();
+        const bool congested =
+            is_congested(entry ? &*entry : nullptr, looked_at);
+        const auto until =
+            usable && !congested ? request.wait_until : request.wait_until_busy;
+        std::string_view refused;
+        if (!usable && use == purpose::primary)
+        {
+            primary_outage_.on_missing(looked_at);
+            if (request.may_be_refused_early && !may_have_primary(until))
+            {
+                refused = no_primary;
+            }
+        }
+        if (refused.empty())
         {
+            refused = co_await wait_for_release(request, use, until, entry);
+        }
+        if (!refused.empty())
+        {
+            if (entry)
+            {
+                wake(queue_.leave(*entry));
+            }
+            const auto missing =
+                use == purpose::primary ? no_primary : no_fresh_replica;
+            request.refusal =
+                make_refusal(request, use, usable ? refused : missing);
             co_return fail(
                 usable ? errc::queue_full
                        : (use == purpose::primary ? errc::no_primary
@@ -184,73 +222,124 @@
     }
 }
 
-bool service_gateway::is_congested(time_point now) const
+bool service_gateway::is_congested(const waiter* entry, time_point now)
+{
+    const auto others =
+        queue_.waiting() - (entry != nullptr && entry->is_waiting() ? 1 : 0);
+    if (others == 0)
+    {
+        last_uncongested_at_ = now;
+    }
+    return now - last_uncongested_at_ > congestion_time;
+}
+
+bool service_gateway::may_have_primary(time_point until) const
+{
+    bool any_member = false;
+    for (const auto& [instance, member] : directory_.members())
+    {
+        if (member.record.service != definition_.name)
+        {
+            continue;
+        }
+        any_member = true;
+        const auto* pool = pools_.find(instance);
+        if (pool == nullptr || pool->may_become_primary(until))
+        {
+            return true;
+        }
+    }
+    return !any_member;
+}
+
+wait_refusal service_gateway::make_refusal(
+    const access_request& request, purpose use, std::string_view reason)
 {
-    return waiting_requests() > 0 &&
-           now - last_uncongested_at_ > congestion_time;
+    ++refused_[reason];
+    const auto now = clock::now();
+    const auto delay =
+        reason == no_primary
+            ? primary_outage_.remaining(now)
+            : queue_.retry_delay(use, request.priority, request.customer, now);
+    return {
+        reason,
+        queue_.expected_wait(use, request.priority, request.customer, now),
+        spread_retry_delay(delay, request.request_id)};
 }
 
-awaitable<bool> service_gateway::wait_for_release(
-    const access_request& request, purpose use, time_point until)
+wait_refusal
+service_gateway::refuse_without_primary(std::string_view request_id)
+{
+    ++refused_[no_primary];
+    const auto now = clock::now();
+    primary_outage_.on_missing(now);
+    return {
+        no_primary, std::nullopt,
+        spread_retry_delay(primary_outage_.remaining(now), request_id)};
+}
+
+std::string_view service_gateway::join_queue(waiter& entry, time_point until)
+{
+    const auto verdict = queue_.join(entry, until, clock::now());
+    wake(verdict.shed);
+    switch (verdict.outcome)
+    {
+    case admission_queue::decision::too_long:
+        return queue_too_long;
+    case admission_queue::decision::full:
+        return queue_full;
+    case admission_queue::decision::admitted:
+        break;
+    }
+    return {};
+}
+
+awaitable<std::string_view> service_gateway::wait_for_release(
+    const access_request& request, purpose use, time_point until,
+    std::optional<waiter>& entry)
 {
     const auto now = clock::now();
     if (now >= until)
     {
-        co_return false;
+        co_return waited;
     }
-    if (waiting_requests() == 0)
+    if (!entry)
     {
-        last_uncongested_at_ = now;
+        entry.emplace(io_, use, request);
+        const auto refused = join_queue(*entry, until);
+        if (!refused.empty())
+        {
+            co_return refused;
+        }
     }
-    auto& queues = use == purpose::primary ? primary_waiters_ : read_waiters_;
-    auto& queue = queues[request.priority];
-    if (queue == nullptr)
+    else if (!entry->is_waiting())
     {
-        queue = std::make_unique<fair_queue>(
-            fair_queue::settings{max_waiting, max_waiting});
+        // No connection could be opened.
+        queue_.put_back(*entry);
     }
-    waiter entry(io_);
-    entry.deadline = until;
-    if (!queue->push(request.customer, 1, entry))
+    else if (entry->is_granted())
     {
-        co_return false;
+        wake(queue_.pass_on(*entry));
     }
     // Members recover and registrations change without a release.
-    entry.timer.expires_after(std::min<duration>(until - now, retry_pause));
+    entry->timer.expires_after(std::min<duration>(until - now, retry_pause));
     boost::system::error_code ignored;
-    co_await entry.timer.async_wait(
+    co_await entry->timer.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
-    if (!entry.woken)
-    {
-        queue->erase(entry);
-    }
-    co_return true;
+    co_return entry->is_waiting() ? std::string_view{} : queue_full;
 }
 
-bool service_gateway::wake_next(queue_map& queues)
+void service_gateway::wake(admission_queue::ticket* entry)
 {
-    for (auto& [priority, queue] : queues)
+    if (entry != nullptr)
     {
-        auto* entry = queue->pop();
-        if (entry != nullptr)
-        {
-            auto& woken = static_cast<waiter&>(*entry);
-            woken.woken = true;
-            woken.timer.cancel();
-            return true;
-        }
+        static_cast<waiter*>(entry)->timer.cancel();
     }
-    return false;
 }
 
 void service_gateway::wake_waiters(std::string_view instance)
 {
-    const bool taken =
-        instance == primary_.instance && wake_next(primary_waiters_);
-    if (!taken)
-    {
-        wake_next(read_waiters_);
-    }
+    wake(queue_.on_release(instance == primary_.instance));
 }
 
 void service_gateway::release_connection(
@@ -351,17 +440,4 @@
     return all;
 }
 
-std::size_t service_gateway::waiting_requests() const
-{
-    std::size_t total = 0;
-    for (const auto* queues : {&primary_waiters_, &read_waiters_})
-    {
-        for (const auto& [priority, queue] : *queues)
-        {
-            total += queue->size();
-        }
-    }
-    return total;
-}
-
 } // namespace zinniahub::pooling
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -6,9 +6,11 @@
 #include "pooling/member_choice.hpp"
 #include "pooling/member_pool.hpp"
 #include "pooling/ports.hpp"
+#include "pooling/wait_refusal.hpp"
 
 #include <zinniahub/acknowledgement_hold.hpp>
-#include <zinniahub/fair_queue.hpp>
+#include <zinniahub/admission_queue.hpp>
+#include <zinniahub/outage_estimate.hpp>
 #include <zinniahub/primary_position_history.hpp>
 #include <zinniahub/primary_proof.hpp>
 #include <zinniahub/proxy_configuration.hpp>
@@ -45,8 +47,12 @@
     /// No replica can run the request, because its message would be too long
     /// with a position.
     bool needs_primary = false;
+    /// False for requests of the proxy itself, which wait until their limit.
+    bool may_be_refused_early = true;
     /// Members on which this request failed; they are not tried again.
     std::vector<std::string> excluded;
+    /// Set when no connection was obtained.
+    wait_refusal refusal;
 };
 
 /// @brief Shares positions of the services' primaries with other hosts.
@@ -195,7 +201,18 @@
         std::size_t open = 0;
     };
     std::vector<member_connections> connection_counts() const;
-    std::size_t waiting_requests() const;
+    std::size_t waiting_requests() const
+    {
+        return queue_.waiting();
+    }
+    /// @brief Requests that got no connection, by reason.
+    const std::map<std::string_view, std::uint64_t>& refused_requests() const
+    {
+        return refused_;
+    }
+    /// @brief Counts a request that is refused because no primary is proven or
+    /// its position is not known, and tells when that is expected to end.
+    wait_refusal refuse_without_primary(std::string_view request_id);
     std::uint64_t opened() const
     {
         return opener_.opened();
@@ -232,22 +249,18 @@
 private:
     friend class connection_lease;
 
-    struct waiter : queue_entry
+    struct waiter : admission_queue::ticket
     {
-        explicit waiter(boost::asio::io_context& io)
-            : timer(io)
+        waiter(
+            boost::asio::io_context& io, admission_queue::lane where,
+            const access_request& request)
+            : ticket(where, request.priority, request.customer)
+            , timer(io)
         {
         }
         boost::asio::steady_timer timer;
-        bool woken = false;
-    };
-    using queue_map = std::map<std::uint32_t, std::unique_ptr<fair_queue>>;
-
-    enum class purpose
-    {
-        primary,
-        read
     };
+    using purpose = admission_queue::lane;
 
     member_view view() const;
     member_address
@@ -258,14 +271,26 @@
     acquire(access_request& request, purpose use, log_position position);
     /// True if a replica has received a commit.
     awaitable<bool> has_received(std::string instance, log_position position);
-    bool is_congested(time_point now) const;
-    awaitable<bool> wait_for_release(
-        const access_request& request, purpose use, time_point until);
+    /// @param entry of a request that is not counted itself, or null
+    bool is_congested(const waiter* entry, time_point now);
+    /// Waits until capacity may be free.
+    /// @param entry created with the first wait
+    /// @return reason of a refusal, empty if there is none
+    awaitable<std::string_view> wait_for_release(
+        const access_request& request, purpose use, time_point until,
+        std::optional<waiter>& entry);
+    /// Adds a request to those that wait.
+    /// @return reason of a refusal, empty if there is none
+    std::string_view join_queue(waiter& entry, time_point until);
+    wait_refusal make_refusal(
+        const access_request& request, purpose use, std::string_view reason);
     void release_connection(
         const std::string& instance, pooled_connection_ptr connection);
     /// Wakes a request to use capacity that a member has again.
     void wake_waiters(std::string_view instance);
-    static bool wake_next(queue_map& queues);
+    static void wake(admission_queue::ticket* entry);
+    /// True if a member may become usable as the primary by then.
+    bool may_have_primary(time_point until) const;
     void probe_silent_members(time_point now);
     bool needs_sample(time_point now) const;
     void sample_if_requested(time_point now);
@@ -304,8 +329,9 @@
     /// Term in which `primary_.instance` leads, if its log may end in an
     /// earlier one; 0 if not known.
     std::uint64_t led_term_ = 0;
-    queue_map primary_waiters_;
-    queue_map read_waiters_;
+    admission_queue queue_;
+    std::map<std::string_view, std::uint64_t> refused_;
+    outage_estimate primary_outage_;
     bool sampling_ = false;
     time_point position_requested_at_ = time_point::min();
     /// Requests that wait for a position of the primary.
--- a/src/pooling/session_manager.hpp
+++ b/src/pooling/session_manager.hpp
@@ -37,6 +37,14 @@
     virtual void interrupt() = 0;
 };
 
+/// @brief Whether an operation may run.
+struct admission_result
+{
+    bool admitted = true;
+    /// Time until a token is expected, if the operation may not run.
+    duration retry_after{};
+};
+
 /// @brief Decides whether a customer may run another operation.
 class admission
 {
@@ -47,7 +55,7 @@
     /// @brief As `try_admit`, but requests tokens from other hosts for some
     /// milliseconds before it refuses.
     /// @param request id of the request, for the log line of a refusal
-    virtual awaitable<bool>
+    virtual awaitable<admission_result>
     admit(std::string customer, std::string request) = 0;
     /// @brief Returns the token of an operation that was not sent to a member.
     virtual void refund(std::string_view customer) = 0;
--- a/tests/integration/integration-platform_faults.cpp
+++ b/tests/integration/integration-platform_faults.cpp
@@ -5,6 +5,9 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <regex>
+#include <set>
+#include <string>
 #include <thread>
 
 // Failures around one or two proxies on the users' platform.
@@ -174,6 +177,36 @@
     EXPECT_EQ(read.rows.front(), "before");
 }
 
+// Guards against refusals that do not tell when to repeat the request, or tell
+// all the same, and against log lines that do not name what decided.
+TEST_F(platform_faults, refusals_tell_when_to_repeat)
+{
+    line_caller caller(proxy_->address());
+    ASSERT_TRUE(caller.start("latest", "key-a").ok());
+    const auto refused_with = [&caller](const std::string& code)
+    { return caller.run("PUT a 1").code == code; };
+    platform_.member(0).crash();
+    ASSERT_TRUE(eventually([&] { return refused_with("BUSY"); }));
+    ASSERT_TRUE(eventually([this] { return call("latest", "PUT a 1"); }));
+    platform_.configure(3, keys_, 1);
+    for (int round = 0; round < 5; ++round)
+    {
+        ASSERT_TRUE(eventually([&] { return refused_with("TOOMANY"); }));
+    }
+    const auto log = proxy_->log();
+    const auto texts_of = [&log](const std::string& reason)
+    {
+        const std::regex line(
+            "reply_failed[^\\n]*\"refused_by\":\"" + reason +
+            "\"[^\\n]*, retry after ([0-9]+) ms");
+        return std::set<std::string>(
+            std::sregex_token_iterator(log.begin(), log.end(), line, 1),
+            std::sregex_token_iterator());
+    };
+    EXPECT_GE(texts_of("no_primary").size(), 1U);
+    EXPECT_GE(texts_of("rate").size(), 2U);
+}
+
 // Guards against a lost or doubtful write that is reported as not run, and
 // against a write that is sent twice.
 TEST_F(platform_faults, unanswered_write_is_in_doubt)
