--- a/src/coordination/duty_lease.hpp
+++ b/src/coordination/duty_lease.hpp
@@ -119,6 +119,7 @@
     awaitable<void> acquire();
     awaitable<void> renew();
     /// Ends the lease at once, so that another host can acquire the duty.
+    /// Repeats the call until it is answered or the lease has ended anyway.
     awaitable<void> release(std::string_view reason);
     awaitable<void> prepare();
     void on_lost(std::string_view reason);
