--- a/src/pooling/client_session.cpp
+++ b/src/pooling/client_session.cpp
@@ -321,7 +321,9 @@
     trace_.failure_code = errc::member_unreachable;
     return refuse_unsent(
         errc::member_unreachable,
-        "the failure domain of this host is cut off from the others");
+        "the failure domain of this host is cut off from the others",
+        manager_.gateway(route_->service)
+            .refuse_out_of_reach(request.request_id));
 }
 
 bool client_session::may_use_replica() const
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -36,6 +36,12 @@
 constexpr std::string_view queue_full = "queue_full";
 constexpr std::string_view no_primary = "no_primary";
 constexpr std::string_view no_fresh_replica = "no_fresh_replica";
+/// The failure domain of this host is cut off.
+constexpr std::string_view out_of_reach = "out_of_reach";
+
+/// Time until new connections of clients are routed past an unready host: two
+/// failed probes at one a second.
+constexpr duration rerouting_time = std::chrono::seconds(2);
 
 } // namespace
 
@@ -299,6 +305,14 @@
         spread_retry_delay(primary_outage_.remaining(now), request_id)};
 }
 
+wait_refusal service_gateway::refuse_out_of_reach(std::string_view request_id)
+{
+    ++refused_[out_of_reach];
+    return {
+        out_of_reach, std::nullopt,
+        spread_retry_delay(rerouting_time, request_id)};
+}
+
 std::string_view service_gateway::join_queue(waiter& entry, time_point until)
 {
     const auto verdict = queue_.join(entry, until, clock::now());
@@ -416,13 +430,13 @@
     {
         return false;
     }
-    const bool no_primary = is_primary_out_of_reach(view(), now);
+    const bool lacks_primary = is_primary_out_of_reach(view(), now);
     const auto position = max_staleness && !request.needs_primary
                               ? required_position(now, *max_staleness)
                               : std::nullopt;
     if (!position)
     {
-        return no_primary;
+        return lacks_primary;
     }
     return read_candidates(
                view(),
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -232,6 +232,9 @@
     /// @brief Counts a request that is refused because no primary is proven or
     /// its position is not known, and tells when that is expected to end.
     wait_refusal refuse_without_primary(std::string_view request_id);
+    /// @brief Counts a request that is refused because the failure domain of
+    /// this host is cut off, and tells when its client reaches another domain.
+    wait_refusal refuse_out_of_reach(std::string_view request_id);
     std::uint64_t opened() const
     {
         return opener_.opened();
