--- a/tests/unit/unit-usage.cpp
+++ b/tests/unit/unit-usage.cpp
@@ -277,6 +277,7 @@
                R"(node_name = "n0"
 listen_addrs = { frontend = "127.0.0.1:1", ready = "127.0.0.1:2" }
 platform = { address = "127.0.0.1:3" }
+cloud_api.address = "127.0.0.1:4"
 )" + bounds_and_tasks)
         .value();
 }
