--- a/tests/integration/integration-platform_usage.cpp
+++ b/tests/integration/integration-platform_usage.cpp
@@ -203,3 +203,19 @@
     ASSERT_TRUE(wait_for([this] { return is_reported(last_window_); }));
     EXPECT_EQ(reported(last_window_, "brig"), 21U);
 }
+
+// Guards against a holder that goes on where it was after a suspension, with
+// sums and a token that another host has replaced.
+TEST_F(platform_usage, survives_a_holder_that_is_suspended)
+{
+    const auto holder = platform_.store().usage().begin()->second.holder;
+    operate("key-a", 4);
+    proxies_[holder]->child().freeze();
+    std::this_thread::sleep_for(6s);
+    proxies_[holder]->child().resume();
+    ASSERT_TRUE(wait_for([this] { return is_reported(last_window_ + 4); }));
+    EXPECT_EQ(reported(last_window_, "alba"), 15U);
+    const auto calls = platform_.store().usage();
+    EXPECT_NE(calls.rbegin()->second.holder, holder);
+    EXPECT_EQ(calls.rbegin()->first - calls.begin()->first + 1, calls.size());
+}
