--- a/tests/unit/unit-promotion_coordinator.cpp
+++ b/tests/unit/unit-promotion_coordinator.cpp
@@ -158,3 +158,33 @@
     EXPECT_EQ(state.item.value, "a");
     EXPECT_EQ(state.ended, 1);
 }
+
+namespace
+{
+
+/// True if host "b" takes the duty soon after host "a" gave it up.
+bool takes_over_from_another_host(duration return_delay)
+{
+    boost::asio::io_context io;
+    one_key_store state;
+    log::event_log events{{.descriptor = ::open("/dev/null", O_WRONLY)}};
+    duty_lease lease(
+        io, state, {.host = "b", .return_delay = return_delay}, {}, events);
+    state.put(std::string(duty_key), "a");
+    lease.on_item(state.item);
+    state.item = {std::string(duty_key), {}, 0, 0, false};
+    lease.on_item({std::string(duty_key), {}, 2, 0, true});
+    lease.start();
+    io.run_for(600ms);
+    return lease.is_held(clock::now());
+}
+
+} // namespace
+
+// Guards against a duty that returns to a host, an earlier process of which may
+// have held it, within the time in which the platform forbids that.
+TEST(duty_lease, does_not_return_within_the_delay)
+{
+    EXPECT_TRUE(takes_over_from_another_host(duration::zero()));
+    EXPECT_FALSE(takes_over_from_another_host(3s));
+}
--- a/tests/unit/unit-usage_random.cpp
+++ b/tests/unit/unit-usage_random.cpp
@@ -148,7 +148,7 @@
     }
     void later(duration delay, std::function<void()> action)
     {
-        pending.push_back({now + delay, std::move(action)});
+        pending_.push_back({now + delay, std::move(action)});
     }
 
     void send(const std::string& to, const usage_part& part)
@@ -252,15 +252,16 @@
 private:
     void carry_out()
     {
-        for (std::size_t index = 0; index < pending.size();)
+        for (std::size_t index = 0; index < pending_.size();)
         {
-            if (pending[index].first > now)
+            if (pending_[index].first > now)
             {
                 ++index;
                 continue;
             }
-            const auto action = pending[index].second;
-            pending.erase(pending.begin() + static_cast<std::ptrdiff_t>(index));
+            const auto action = pending_[index].second;
+            pending_.erase(
+                pending_.begin() + static_cast<std::ptrdiff_t>(index));
             action();
         }
     }
@@ -345,7 +346,7 @@
         }
     }
 
-    std::deque<std::pair<time_point, std::function<void()>>> pending;
+    std::deque<std::pair<time_point, std::function<void()>>> pending_;
 };
 
 simulated_host::simulated_host(fleet& all, std::size_t index, time_point now)
