--- a/include/zinniahub/usage_outbox.hpp
+++ b/include/zinniahub/usage_outbox.hpp
@@ -44,8 +44,8 @@
     {
     }
 
-    /// @brief Lengthens the interval in a large fleet, so that the messages of
-    /// all hosts to a collector stay below 125 a second for each window.
+    /// @brief Lengthens the interval in a large fleet: up to 250 hosts together
+    /// send a collector at most 125 windows a second for each open window.
     void set_host_count(std::size_t hosts);
     duration interval() const
     {
