Choose members of reads by measured service time and failures

Cause: reads went to an idle connection first, then to the member with the least in progress, so a member five times slower, or one that fails 40% of its requests in good health, was used as much as the others.

Each host now estimates service time and failure rate of each member from the outcomes of its own reads. Slow and failing members come last and are tested by one request at a time; among the others the order is as before.

--- a/src/pooling/connection_lease.cpp
+++ b/src/pooling/connection_lease.cpp
@@ -32,6 +32,13 @@
     return code == reply_code::malformed || code == reply_code::too_large;
 }
 
+bool only_reads(const statement& value, const session_state& session)
+{
+    return value.kind == statement_kind::read ||
+           (value.kind == statement_kind::execute &&
+            session.prepared != nullptr && !session.prepared->writes);
+}
+
 } // namespace
 
 connection_lease::connection_lease(
@@ -137,8 +144,14 @@
         co_await connection_->link->forward({value, name, wait_for}, timeout);
     if (answer)
     {
-        gateway_->pools_.of(instance_).on_statement_answered(
-            sent_at, clock::now(), latency_objective_, answer->code);
+        const auto now = clock::now();
+        auto& pool = gateway_->pools_.of(instance_);
+        pool.on_statement_answered(
+            sent_at, now, latency_objective_, answer->code);
+        if (!held_ && only_reads(value, session))
+        {
+            pool.on_read_answered(now - sent_at, answer->code);
+        }
     }
     on_call_finished(answer, sent_at);
     if (answer && answer->code == reply_code::unknown_prepared)
--- a/src/pooling/connection_opener.cpp
+++ b/src/pooling/connection_opener.cpp
@@ -39,6 +39,7 @@
 {
     pools_.of(target.instance).on_connecting();
     const auto number = ++opened_;
+    const auto started = clock::now();
     auto link = co_await connector_.connect(target, limit);
     auto& pool = pools_.of(target.instance);
     if (!link)
@@ -54,6 +55,7 @@
         co_return nullptr;
     }
     pool.on_connected();
+    pool.estimate().on_set_up(clock::now() - started);
     auto connection = std::make_unique<pooled_connection>();
     connection->link = std::move(*link);
     connection->customer = target.customer;
--- a/src/pooling/member_choice.cpp
+++ b/src/pooling/member_choice.cpp
@@ -10,7 +10,18 @@
 namespace
 {
 
-using ranked_cost = std::tuple<int, std::uint32_t, std::uint64_t>;
+/// Order in which members are tried, whatever their connections cost.
+enum class group
+{
+    test_due,
+    usable,
+    avoided
+};
+
+using ranked_cost =
+    std::tuple<group, duration, int, std::uint32_t, std::uint64_t>;
+using ranked_members =
+    std::vector<std::pair<ranked_cost, const upstream_state*>>;
 
 /// Members with their costs, cheapest first.
 template<typename Cost>
@@ -69,6 +80,106 @@
            needs.excluded.end();
 }
 
+/// A member that may run a read.
+struct candidate
+{
+    const upstream_state* member = nullptr;
+    /// Null if this host has not used the member.
+    const member_pool* pool = nullptr;
+    member_pool::availability access = member_pool::availability::open;
+    std::uint32_t load = 0;
+    std::uint64_t rotation = 0;
+};
+
+duration
+expected_time(const member_comparison& comparison, const candidate& value)
+{
+    const bool idle = value.access == member_pool::availability::idle;
+    return value.pool == nullptr ? comparison.expected_time(nullptr, 0, 1)
+                                 : comparison.expected_time(
+                                       &value.pool->estimate(),
+                                       value.pool->in_use(), idle ? 0 : 1);
+}
+
+member_judgement
+judge(const member_comparison& comparison, const candidate& value)
+{
+    return value.pool == nullptr ? member_judgement::usable
+                                 : comparison.judge(value.pool->estimate());
+}
+
+/// Shortest expected time of the usable members with free capacity.
+duration best_time(
+    const member_comparison& comparison, const std::vector<candidate>& eligible)
+{
+    auto best = duration::max();
+    for (const auto& value : eligible)
+    {
+        if (value.access != member_pool::availability::none &&
+            judge(comparison, value) == member_judgement::usable)
+        {
+            best = std::min(best, expected_time(comparison, value));
+        }
+    }
+    return best;
+}
+
+/// What a read compares its candidates by.
+struct ranking
+{
+    member_comparison comparison;
+    /// See `best_time`.
+    duration best = duration::max();
+};
+
+/// Group of a candidate, and its place in the group of avoided members.
+std::pair<group, duration> place_of(
+    const candidate& value, const ranking& by, const read_requirements& needs,
+    time_point now)
+{
+    const auto judgement = judge(by.comparison, value);
+    if (judgement == member_judgement::usable)
+    {
+        return {group::usable, duration::zero()};
+    }
+    // A request that has failed before should not test a member.
+    if (needs.excluded.empty() &&
+        by.comparison.is_test_due(
+            value.pool->estimate(), value.pool->in_use(), needs.rotation, now))
+    {
+        return {group::test_due, duration::zero()};
+    }
+    const auto expected = expected_time(by.comparison, value);
+    if (judgement == member_judgement::slow && expected <= by.best)
+    {
+        return {group::usable, duration::zero()};
+    }
+    return {group::avoided, expected};
+}
+
+ranked_members rank(
+    const std::vector<candidate>& eligible, const read_requirements& needs,
+    time_point now)
+{
+    ranking by;
+    for (const auto& value : eligible)
+    {
+        by.comparison.add(
+            value.pool == nullptr ? nullptr : &value.pool->estimate());
+    }
+    by.best = best_time(by.comparison, eligible);
+    ranked_members ranked;
+    for (const auto& value : eligible)
+    {
+        const auto [place, time] = place_of(value, by, needs, now);
+        ranked.push_back(
+            {{place, time, static_cast<int>(value.access), value.load,
+              value.rotation},
+             value.member});
+    }
+    return ranked;
+}
+
 } // namespace
 
 std::vector<const upstream_state*>
@@ -93,10 +204,26 @@
     return in_order(std::move(ranked));
 }
 
+member_comparison compare_members(const member_view& view, time_point now)
+{
+    member_comparison comparison;
+    for (const auto& [instance, member] : view.directory.members())
+    {
+        const auto* pool = view.pools.find(instance);
+        if (pool != nullptr && member.record.service == view.service &&
+            view.directory.accepts_new_operations(member, now) &&
+            !pool->is_suspect(now))
+        {
+            comparison.add(&pool->estimate());
+        }
+    }
+    return comparison;
+}
+
 std::vector<const upstream_state*> read_candidates(
     const member_view& view, const read_requirements& needs, time_point now)
 {
-    std::vector<std::pair<ranked_cost, const upstream_state*>> ranked;
+    std::vector<candidate> eligible;
     auto rotation = needs.rotation;
     const auto reached_at = view.samples.reached_at(needs.position, now);
     for (const auto& [instance, member] : view.directory.members())
@@ -111,7 +238,9 @@
         const auto* pool = view.pools.find(instance);
         if (pool == nullptr)
         {
-            ranked.push_back({{1, 0, rotation % 3}, &member});
+            eligible.push_back(
+                {&member, nullptr, member_pool::availability::open, 0,
+                 rotation % 3});
             continue;
         }
         const bool primary = instance == view.primary.instance;
@@ -121,12 +250,11 @@
         {
             continue;
         }
-        ranked.push_back(
-            {{static_cast<int>(access_of(*pool, needs.customer, now)),
-              2 * pool->in_use() + (primary ? 1U : 0U), rotation % 3},
-             &member});
+        eligible.push_back(
+            {&member, pool, access_of(*pool, needs.customer, now),
+             2 * pool->in_use() + (primary ? 1U : 0U), rotation % 3});
     }
-    return in_order(std::move(ranked));
+    return in_order(rank(eligible, needs, now));
 }
 
 } // namespace zinniahub::pooling
--- a/src/pooling/member_choice.hpp
+++ b/src/pooling/member_choice.hpp
@@ -49,8 +49,13 @@
 std::vector<const upstream_state*>
 primary_candidates(const member_view& view, time_point now);
 
+/// @brief Compares the members of a service that may run reads.
+member_comparison compare_members(const member_view& view, time_point now);
+
 /// @brief Members whose log probably reaches the position, in the order in
-/// which a read should try them: by the cost of a connection, then by load.
+/// which a read should try them: one whose test is due, then those that are
+/// usable, by the cost of a connection and by load, then slow and failing
+/// ones, by the expected time to an answer.
 std::vector<const upstream_state*> read_candidates(
     const member_view& view, const read_requirements& needs, time_point now);
 
--- a/src/pooling/member_pool.cpp
+++ b/src/pooling/member_pool.cpp
@@ -154,9 +154,32 @@
         }
         return;
     }
+    if (!is_unreachable())
+    {
+        // Later attempts fail for the same reason.
+        estimate_.on_silence();
+    }
     mark_suspect(now);
 }
 
+void member_pool::on_read_answered(duration taken, reply_code code)
+{
+    switch (code)
+    {
+    case reply_code::none:
+        estimate_.on_answer(taken);
+        break;
+    case reply_code::failed:
+    case reply_code::timeout:
+    case reply_code::busy:
+        estimate_.on_failure();
+        break;
+    default:
+        // The request or the member's state was the cause.
+        break;
+    }
+}
+
 void member_pool::mark_suspect(time_point now)
 {
     suspect_duration_ = std::clamp<duration>(
@@ -186,6 +209,7 @@
 
 void member_pool::on_call_failed(time_point now)
 {
+    estimate_.on_silence();
     mark_suspect(now);
     // Other connections to a failed member are probably unusable too.
     close_all_idle();
--- a/src/pooling/member_pool.hpp
+++ b/src/pooling/member_pool.hpp
@@ -4,6 +4,7 @@
 
 #include <zinniahub/concurrency_limit.hpp>
 #include <zinniahub/idle_budget.hpp>
+#include <zinniahub/member_estimate.hpp>
 #include <zinniahub/session_values.hpp>
 
 #include <cstdint>
@@ -12,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace zinniahub::pooling
 {
@@ -160,6 +162,27 @@
     void on_statement_answered(
         time_point sent_at, time_point now, duration objective,
         reply_code code);
+    /// @brief A read that was sent outside of a transaction was answered.
+    void on_read_answered(duration taken, reply_code code);
+    /// @brief Expected time to an answer of the member.
+    const member_estimate& estimate() const
+    {
+        return estimate_;
+    }
+    member_estimate& estimate()
+    {
+        return estimate_;
+    }
+    /// @brief Records how the member compares with the others.
+    /// @return false if that is as before
+    bool set_judgement(member_judgement value)
+    {
+        return std::exchange(judgement_, value) != value;
+    }
+    member_judgement judgement() const
+    {
+        return judgement_;
+    }
     /// @brief True if one more statement may be sent to the member.
     bool has_capacity() const
     {
@@ -203,6 +226,8 @@
     /// When the calls in progress were sent.
     std::multiset<time_point> calls_;
     concurrency_limit concurrency_;
+    member_estimate estimate_;
+    member_judgement judgement_ = member_judgement::usable;
     time_point last_answer_at_ = time_point::min();
 
     limits limits_;
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -67,6 +67,30 @@
     update_idle_allowances();
 }
 
+void service_gateway::judge_members(time_point now)
+{
+    const auto comparison = compare_members(view(), now);
+    for (auto& [instance, pool] : pools_.all())
+    {
+        const auto& estimate = pool.estimate();
+        const auto judgement = comparison.judge(estimate);
+        // One that does not answer now is not compared.
+        if (pool.is_suspect(now) || !pool.set_judgement(judgement))
+        {
+            continue;
+        }
+        events_.write(
+            "member_judged",
+            {{"service", definition_.name},
+             {"instance", instance},
+             {"judgement", to_string(judgement)},
+             {"service_ms",
+              to_seconds(estimate.service_time().value_or(duration::zero())) *
+                  1000},
+             {"failure_rate", estimate.failure_rate()}});
+    }
+}
+
 void service_gateway::update_idle_allowances()
 {
     std::size_t index = 0;
@@ -170,6 +194,10 @@
             {
                 continue;
             }
+            if (use == purpose::read)
+            {
+                pool.estimate().on_chosen(rotation_, now);
+            }
             if (access == member_pool::availability::idle)
             {
                 co_return connection_lease(
@@ -341,6 +369,7 @@
     const auto now = clock::now();
     probe_silent_members(now);
     sample_if_requested(now);
+    judge_members(now);
     update_idle_allowances();
     auto& pools = pools_.all();
     for (auto entry = pools.begin(); entry != pools.end();)
@@ -370,7 +399,9 @@
     {
         all.push_back(
             {instance, pool.in_use(), pool.connection_count(),
-             pool.idle_count(), pool.max_idle()});
+             pool.idle_count(), pool.max_idle(), pool.estimate().service_time(),
+             pool.estimate().failure_rate(),
+             pool.judgement() != member_judgement::usable});
     }
     return all;
 }
--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -196,6 +196,11 @@
         std::size_t idle = 0;
         /// Idle connections that are kept.
         std::uint32_t max_idle = 0;
+        /// Mean time of a read; none before there are enough answers.
+        std::optional<duration> service_time;
+        double failure_rate = 0;
+        /// Reads prefer other members.
+        bool is_avoided = false;
     };
     std::vector<member_connections> connection_counts() const;
     std::size_t waiting_requests() const;
@@ -270,6 +275,8 @@
     void wake_waiters(std::string_view instance);
     static bool wake_next(queue_map& queues);
     void probe_silent_members(time_point now);
+    /// Logs which members became slow, failing or usable.
+    void judge_members(time_point now);
     /// Gives each pool its part of the idle connections.
     void update_idle_allowances();
     bool needs_sample(time_point now) const;
