--- a/tests/unit/unit-idle_budget.cpp
+++ b/tests/unit/unit-idle_budget.cpp
@@ -106,6 +106,7 @@
 TEST(idle_budget, joining_host_changes_few_allowances)
 {
     std::vector<std::string> before;
+    before.reserve(66);
     for (int host = 0; host < 66; ++host)
     {
         before.push_back("host-" + std::to_string(host));
--- a/tests/unit/unit-member_estimate.cpp
+++ b/tests/unit/unit-member_estimate.cpp
@@ -157,7 +157,7 @@
             ++requests[index];
             if (access == member_pool::availability::idle)
             {
-                send(index, pool.take_idle(customer, {}));
+                send(index, pool.take_idle(customer, session_values{}));
                 return;
             }
             open(
@@ -202,8 +202,9 @@
 
     using opened_handler = std::function<void(pooled_connection_ptr)>;
 
-    void
-    open(std::size_t index, const std::string& customer, opened_handler opened)
+    void open(
+        std::size_t index, const std::string& customer,
+        const opened_handler& opened)
     {
         ++set_ups;
         pools_.of(name_of(index)).on_connecting();
--- a/tests/unit/unit-member_pool.cpp
+++ b/tests/unit/unit-member_pool.cpp
@@ -122,7 +122,7 @@
     }
     pool.close_surplus(start + 3s);
     EXPECT_EQ(pool.idle_count(), 2U);
-    EXPECT_EQ(pool.take_idle("alba", {}), nullptr);
+    EXPECT_EQ(pool.take_idle("alba", session_values{}), nullptr);
     pool.close_surplus(start + 20s);
     EXPECT_EQ(pool.idle_count(), 2U);
     pool.close_surplus(start + 22s);
