--- a/tests/unit/unit-member_estimate.cpp
+++ b/tests/unit/unit-member_estimate.cpp
@@ -396,6 +396,28 @@
     EXPECT_LT(host.share(1), 0.05);
 }
 
+// Guards against a member that is tested by many requests at once, or never.
+TEST(member_estimate, member_is_tested_by_one_request_at_a_time)
+{
+    const member_estimate good;
+    member_estimate failing;
+    for (int count = 0; count < 10; ++count)
+    {
+        failing.on_failure();
+    }
+    failing.on_chosen(100, start);
+    member_comparison all;
+    all.add(&good);
+    all.add(&failing);
+    EXPECT_EQ(all.judge(failing), member_judgement::failing);
+    // Too few requests or too little time since the last one.
+    EXPECT_FALSE(all.is_test_due(failing, 0, 110, start + 10s));
+    EXPECT_FALSE(all.is_test_due(failing, 0, 200, start + 500ms));
+    EXPECT_FALSE(all.is_test_due(failing, 1, 200, start + 1900ms));
+    EXPECT_TRUE(all.is_test_due(failing, 0, 200, start + 1900ms));
+    EXPECT_FALSE(all.is_test_due(good, 0, 200, start + 10s));
+}
+
 // Guards against a member without measurements that is taken for a fast one.
 TEST(member_estimate, member_without_measurements_has_the_mean_of_the_others)
 {
