--- a/src/pooling/service_gateway.hpp
+++ b/src/pooling/service_gateway.hpp
@@ -210,6 +210,11 @@
         std::size_t idle = 0;
         /// Idle connections that are kept.
         std::uint32_t max_idle = 0;
+        /// Mean time of a read; none before there are enough answers.
+        std::optional<duration> service_time;
+        double failure_rate = 0;
+        /// Reads prefer other members.
+        bool is_avoided = false;
     };
     std::vector<member_connections> connection_counts() const;
     /// @brief Last answer of any member of each failure domain with registered
@@ -314,6 +319,8 @@
     /// True if a member may become usable as the primary by then.
     bool may_have_primary(time_point until) const;
     void probe_silent_members(time_point now);
+    /// Logs which members became slow, failing or usable.
+    void judge_members(time_point now);
     /// Gives each pool its part of the idle connections.
     void update_idle_allowances();
     bool needs_sample(time_point now) const;
