Count requests that did not wait towards the rate of the queue

Cause: the rate counted only requests that had waited. While one request waits long for reasons of its own, for example a position that no replica has, few others wait, the rate looks low, and a short queue behind it is refused.

Change: a request that takes capacity at once counts while others wait.

--- a/include/zinniahub/admission_queue.hpp
+++ b/include/zinniahub/admission_queue.hpp
@@ -157,6 +157,11 @@
     /// @return another request that may take capacity, or nullptr
     ticket* on_taken(ticket& entry, time_point now);
 
+    /// @brief A request takes capacity without having waited. While others
+    /// wait, it counts towards the rate: one request may wait long for reasons
+    /// of its own while the others hardly wait.
+    void on_taken_at_once(lane where, std::uint32_t priority, time_point now);
+
     /// @brief A request that has taken capacity could not use it after all and
     /// goes back to its place.
     void put_back(ticket& entry);
--- a/src/lib/admission_queue.cpp
+++ b/src/lib/admission_queue.cpp
@@ -342,6 +342,22 @@
     return grant(entry.release_, entry.at_primary_, entry.offers_ + 1);
 }
 
+void admission_queue::on_taken_at_once(
+    lane where, std::uint32_t priority, time_point now)
+{
+    auto& state = at(where);
+    if (state.load.waiting == 0)
+    {
+        return;
+    }
+    state.load.served.add(now);
+    const auto own = state.priorities.find(priority);
+    if (own != state.priorities.end())
+    {
+        own->second.load.served.add(now);
+    }
+}
+
 bool admission_queue::must_yield(lane where, const ticket* entry)
 {
     const auto before =
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -164,6 +164,10 @@
             {
                 wake(queue_.on_taken(*entry, now));
             }
+            else
+            {
+                queue_.on_taken_at_once(use, request.priority, now);
+            }
             if (access == member_pool::availability::idle)
             {
                 co_return connection_lease(
--- a/tests/unit/admission_replay.hpp
+++ b/tests/unit/admission_replay.hpp
@@ -142,6 +142,7 @@
         added->number = ++result.sent;
         if (has_slot() && policy_.may_take(added->entry))
         {
+            policy_.taken_at_once(source, now_);
             serve(*added);
             return;
         }
--- a/tests/unit/unit-admission_queue.cpp
+++ b/tests/unit/unit-admission_queue.cpp
@@ -33,6 +33,10 @@
     {
         queue.on_taken(entry, now);
     }
+    void taken_at_once(const stream& source, time_point now)
+    {
+        queue.on_taken_at_once(source.where, source.priority, now);
+    }
     void keep(ticket& entry)
     {
         if (entry.is_granted())
@@ -231,6 +235,20 @@
     EXPECT_EQ(queue_.waiting(), 4U);
 }
 
+// Guards against refusals because one request waits for something that the
+// others do not need: only a few of them wait, so few are served after a wait.
+TEST_F(admission_queue_steps, one_stuck_request_does_not_lower_the_rate)
+{
+    join(lane::read, "stuck");
+    for (auto elapsed = 0ms; elapsed < 1s; elapsed += 5ms)
+    {
+        queue_.on_taken_at_once(lane::read, 0, start + elapsed);
+    }
+    const auto wait = queue_.expected_wait(lane::read, 0, "a", start + 1s);
+    ASSERT_TRUE(wait);
+    EXPECT_LT(*wait, 10ms);
+}
+
 // Guards against repetitions that come back as a second peak.
 TEST(admission_queue, retry_delays_are_spread_by_id)
 {
