Let requests of the proxy itself wait until their limit

Cause: the sample of the primary's position could be refused early by the estimate of the queue, although all reads of the host depend on it.

Change: such requests join the queue without a check of the expected wait, as they already were exempt from the early refusal without a primary.

No test of its own: the refusal needs an expected wait of more than 375 ms.

--- a/include/zinniahub/admission_queue.hpp
+++ b/include/zinniahub/admission_queue.hpp
@@ -53,8 +53,8 @@
         /// times its limit. The rate is an estimate, and a request that waits
         /// in vain costs less than one that is refused without need.
         double refusal_factor = 1.25;
-        /// Requests that must have been served after a wait within the last
-        /// second, and the minimum time for which others must have waited,
+        /// Requests that must have been served within the last second while
+        /// others waited, and the minimum time for which some must have waited,
         /// before the rate is used.
         std::size_t min_served = 8;
         duration min_measured_time = std::chrono::milliseconds(100);
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -310,7 +310,8 @@
     if (!entry)
     {
         entry.emplace(io_, use, request);
-        const auto refused = join_queue(*entry, until);
+        const auto refused =
+            join_queue(*entry, request.may_be_refused_early ? until : never);
         if (!refused.empty())
         {
             co_return refused;
