--- a/include/zinniahub/admission_queue.hpp
+++ b/include/zinniahub/admission_queue.hpp
@@ -53,8 +53,8 @@
         /// times its limit. The rate is an estimate, and a request that waits
         /// in vain costs less than one that is refused without need.
         double refusal_factor = 1.25;
-        /// Requests that must have been served after a wait within the last
-        /// second, and the minimum time for which others must have waited,
+        /// Requests that must have been served within the last second while
+        /// others waited, and the minimum time for which some must have waited,
         /// before the rate is used.
         std::size_t min_served = 8;
         duration min_measured_time = std::chrono::milliseconds(100);
@@ -157,6 +157,11 @@
     /// @return another request that may take capacity, or nullptr
     ticket* on_taken(ticket& entry, time_point now);
 
+    /// @brief A request takes capacity without having waited. While others
+    /// wait, it counts towards the rate: one request may wait long for reasons
+    /// of its own while the others hardly wait.
+    void on_taken_at_once(lane where, std::uint32_t priority, time_point now);
+
     /// @brief A request that has taken capacity could not use it after all and
     /// goes back to its place.
     void put_back(ticket& entry);
--- a/src/pooling/service_gateway.cpp
+++ b/src/pooling/service_gateway.cpp
@@ -215,6 +215,10 @@
             {
                 wake(queue_.on_taken(*entry, now));
             }
+            else
+            {
+                queue_.on_taken_at_once(use, request.priority, now);
+            }
             if (use == purpose::read)
             {
                 pool.estimate().on_chosen(rotation_, now);
@@ -369,7 +373,8 @@
     if (!entry)
     {
         entry.emplace(io_, use, request);
-        const auto refused = join_queue(*entry, until);
+        const auto refused =
+            join_queue(*entry, request.may_be_refused_early ? until : never);
         if (!refused.empty())
         {
             co_return refused;
