Review case 6: acknowledged writes lost after a planned stop of a host

A host that stops as planned removes its registration, and the holder of the promotion duty then counts the answers of the other hosts as complete, without what that host had passed on. No code of the program is changed.

--- /dev/null
+++ b/review/6/case-2.cc
@@ -0,0 +1,246 @@
+#include "entry_host.hh"
+
+// A replica receives nothing for a while, and the other one crashes and comes
+// back with its log. The host through which clients wrote is replaced as
+// planned. The primary runs and can be reached all the while.
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <vector>
+
+using namespace review;
+
+namespace
+{
+
+/// Writes that clients saw acknowledged, and the logs of promoted members.
+struct history
+{
+    struct promotion
+    {
+        steady::time_point at;
+        std::string instance;
+        std::set<std::string> data;
+    };
+    std::mutex mutex;
+    std::map<std::string, steady::time_point> acknowledged;
+    std::vector<promotion> promotions;
+};
+
+bool write_once(
+    const std::string& host, const std::string& data, history& seen,
+    record_file& record, std::mutex& record_mutex, const char* who)
+{
+    line_caller caller(host, 2500ms);
+    const auto started = caller.start("latest", "key-a");
+    std::string outcome = "no session";
+    bool done = false;
+    if (started.ok())
+    {
+        const auto answer = caller.run("PUT " + data + " " + data);
+        done = answer.ok();
+        outcome = done                ? "acknowledged"
+                  : answer.cut        ? "cut"
+                  : answer.unanswered ? "no answer"
+                                      : answer.code;
+    }
+    const auto now = steady::now();
+    if (done)
+    {
+        const std::lock_guard lock(seen.mutex);
+        seen.acknowledged[data] = now;
+    }
+    const std::lock_guard lock(record_mutex);
+    record.write("{} PUT {}: {}", who, data, outcome);
+    return done;
+}
+
+} // namespace
+
+int main(int, char** arguments)
+{
+    const std::string folder = arguments[1];
+    record_file record(arguments[2]);
+    std::mutex record_mutex;
+    const auto note = [&](const std::string& text)
+    {
+        const std::lock_guard lock(record_mutex);
+        record.write("{}", text);
+    };
+    const char* setting = std::getenv("TROUBLE");
+    const bool trouble = setting == nullptr || std::string(setting) != "0";
+
+    history seen;
+    hosted_platform platform({.max_connections = 22});
+    auto& store = platform.store();
+    store.set_promotion_time(1s);
+    platform.configure(1, {{"alba", "key-a"}});
+    platform.on_promoted(
+        [&](const std::string& instance,
+            const zinniahub::test::replicated_log& log)
+        {
+            history::promotion entry{steady::now(), instance, {}};
+            for (const auto& row : log.members.at(instance).rows)
+            {
+                entry.data.insert(row.data);
+            }
+            const std::lock_guard lock(seen.mutex);
+            seen.promotions.push_back(std::move(entry));
+        });
+
+    std::vector<std::unique_ptr<entry_host>> hosts;
+    for (int index = 0; index < 3; ++index)
+    {
+        hosts.push_back(std::make_unique<entry_host>(
+            folder, fmt::format("n{}", index + 1),
+            fmt::format("zone-{}", index), store.address(), store.address()));
+        // The first host takes the duty of promotions.
+        if (!hosts.back()->wait_until_ready(15s))
+        {
+            note("a host did not become ready");
+            return 2;
+        }
+        std::this_thread::sleep_for(1s);
+    }
+    std::this_thread::sleep_for(6s);
+    note("primary i-0 in zone-0, replicas i-1 in zone-1 and i-2 in zone-2; "
+         "hosts n1, n2, n3 in zone-0, zone-1, zone-2");
+    for (int index = 0; index < 3; ++index)
+    {
+        if (!write_once(
+                hosts[static_cast<std::size_t>(index)]->address(),
+                fmt::format("before-{}", index), seen, record, record_mutex,
+                "client"))
+        {
+            return 2;
+        }
+    }
+
+    // Planned work, with and without the disruptions.
+    hosts.push_back(std::make_unique<entry_host>(
+        folder, "n4", "zone-1", store.address(), store.address()));
+    if (!hosts.back()->wait_until_ready(15s))
+    {
+        note("the new host did not become ready");
+        return 2;
+    }
+    std::this_thread::sleep_for(3s);
+    note("replace_core planned: n4 has started in the place of n2");
+    const auto deaf_since = steady::now();
+    if (trouble)
+    {
+        platform.set_receiving(2, false);
+        note("replica_lag: i-2 receives nothing, for 6.5 s");
+    }
+    for (int take = 1; take <= 8; ++take)
+    {
+        write_once(
+            hosts[1]->address(), fmt::format("take-{}", take), seen, record,
+            record_mutex, "desk at n2");
+        std::this_thread::sleep_for(50ms);
+    }
+    hosts[1]->child().terminate();
+    note("replace_core planned: SIGTERM to n2");
+    const auto exit_code = hosts[1]->child().wait(6s);
+    note(fmt::format("n2 has ended with code {}", exit_code.value_or(-1)));
+    if (!exit_code)
+    {
+        return 2;
+    }
+    const auto lost_at = steady::now();
+    if (trouble)
+    {
+        platform.member(1).crash();
+        note("srv_crash: i-1 is down for 4 s");
+    }
+    std::atomic<bool> ended{false};
+    std::vector<std::thread> clients;
+    for (const std::size_t index : {0U, 2U, 3U})
+    {
+        clients.emplace_back(
+            [&, index]
+            {
+                for (int number = 0; !ended; ++number)
+                {
+                    write_once(
+                        hosts[index]->address(),
+                        fmt::format("later-{}-{}", index + 1, number), seen,
+                        record, record_mutex, "client");
+                    std::this_thread::sleep_for(150ms);
+                }
+            });
+    }
+    std::this_thread::sleep_until(deaf_since + 6500ms);
+    if (trouble)
+    {
+        platform.set_receiving(2, true);
+        note("i-2 receives again, unless it is paused");
+    }
+    std::this_thread::sleep_until(lost_at + 4s);
+    if (trouble)
+    {
+        platform.member(1).restart();
+        platform.register_member(1, false, 4000);
+        note("i-1 runs again, with its log");
+    }
+    std::this_thread::sleep_until(lost_at + 15s);
+    ended = true;
+    for (auto& client : clients)
+    {
+        client.join();
+    }
+
+    {
+        const std::lock_guard lock(platform.log().mutex);
+        for (const auto& run : platform.log().runs)
+        {
+            const std::chrono::duration<double> after = run.at - lost_at;
+            record.write(
+                "ran at {} {:+.3f} s from the loss: {} {}{}", run.instance,
+                after.count(), run.id, run.text,
+                run.committed ? ", committed at " + to_string(run.position)
+                              : std::string());
+        }
+    }
+    int missing = 0;
+    const std::lock_guard lock(seen.mutex);
+    for (const auto& promotion : seen.promotions)
+    {
+        std::string names;
+        for (const auto& [data, at] : seen.acknowledged)
+        {
+            if (at < promotion.at && !promotion.data.contains(data))
+            {
+                ++missing;
+                names += " " + data;
+            }
+        }
+        const std::chrono::duration<double> after = promotion.at - lost_at;
+        record.write(
+            "promoted {} at {:.2f} s after the loss; acknowledged and not in "
+            "its log:{}",
+            promotion.instance, after.count(), names.empty() ? " none" : names);
+    }
+    for (int take = 1; take <= 8; ++take)
+    {
+        line_caller caller(hosts[0]->address(), 2500ms);
+        if (caller.start("latest", "key-a").ok())
+        {
+            const auto answer = caller.run(fmt::format("FETCH take-{}", take));
+            record.write(
+                "FETCH take-{}: {}", take,
+                !answer.ok()          ? answer.code
+                : answer.rows.empty() ? "no row"
+                                      : answer.rows.front());
+        }
+    }
+    record.write(
+        "{} acknowledged, {} promotions, {} acknowledged commits not in the "
+        "log of a promoted member",
+        seen.acknowledged.size(), seen.promotions.size(), missing);
+    return missing > 0 ? 1 : 0;
+}
