--- a/review/8/case-2.cc
+++ b/review/8/case-2.cc
@@ -120,8 +120,8 @@
     const char* setting = std::getenv("TROUBLE");
     const bool trouble = setting == nullptr || std::string(setting) != "0";
 
-    hosted_platform platform({.max_connections = 50});
-    platform.store().set_promotion_time(300ms);
+    hosted_platform platform({.max_connections = 22});
+    platform.store().set_promotion_time(1s);
     platform.configure(1, {{"alba", "key-a"}});
     std::vector<std::unique_ptr<entry_host>> hosts;
     std::vector<std::string> addresses;
