--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,8 +6,9 @@
 cd "$(dirname "$0")/.."
 out=target/review-2
 mkdir -p "$out"
-flags=(-std=c++20 -O1 -Iinclude -Isrc -I. -Itests -Ireview/support-2)
+flags=(-std=c++20 -O1 -Iinclude -Isrc -I. -Itests)
 libraries=(target/libzinniahub_app.a target/libzinniahub.a -lfmt -lssl -lcrypto -lpthread)
+cases=(6 7 8 9)
 support=(hosted_member hosted_platform hosted_proxy hosted_server hosted_store process)
 
 compile() {
@@ -19,9 +20,8 @@
     compile "tests/support/$name.cpp" "$out/$name.o" &
     pids+=($!)
 done
-for source in review/*/case-2.cc; do
-    number=$(basename "$(dirname "$source")")
-    compile "$source" "$out/case-$number.o" &
+for number in "${cases[@]}"; do
+    compile "review/support-2/case-$number.cpp" "$out/case-$number.o" &
     pids+=($!)
 done
 for pid in "${pids[@]}"; do
@@ -31,7 +31,6 @@
 for name in "${support[@]}"; do
     objects+=("$out/$name.o")
 done
-for source in review/*/case-2.cc; do
-    number=$(basename "$(dirname "$source")")
+for number in "${cases[@]}"; do
     "${CXX:-g++}" "$out/case-$number.o" "${objects[@]}" "${libraries[@]}" -o "$out/case-$number"
 done
--- a/review/6/case-2.cc
+++ b/review/support-2/case-6.cpp
@@ -1,4 +1,4 @@
-#include "entry_host.hh"
+#include "entry_host.hpp"
 
 // A replica receives nothing for a while, and the other one crashes and comes
 // back with its log. The host through which clients wrote is replaced as
@@ -61,8 +61,14 @@
 
 } // namespace
 
-int main(int, char** arguments)
+/// Arguments: a folder for settings and logs, the file of the record, and 0 to
+/// leave the disruptions out.
+int main(int count, char** arguments)
 {
+    if (count != 4)
+    {
+        return 2;
+    }
     const std::string folder = arguments[1];
     record_file record(arguments[2]);
     std::mutex record_mutex;
@@ -71,8 +77,7 @@
         const std::lock_guard lock(record_mutex);
         record.write("{}", text);
     };
-    const char* setting = std::getenv("TROUBLE");
-    const bool trouble = setting == nullptr || std::string(setting) != "0";
+    const bool trouble = std::string(arguments[3]) != "0";
 
     history seen;
     hosted_platform platform({.max_connections = 22});
--- a/review/7/case-2.cc
+++ b/review/support-2/case-7.cpp
@@ -1,4 +1,4 @@
-#include "entry_host.hh"
+#include "entry_host.hpp"
 
 // A replica receives nothing for a while, and then the failure domain of the
 // other replica loses power. The primary runs and can be reached all the while.
@@ -64,8 +64,14 @@
 
 } // namespace
 
-int main(int, char** arguments)
+/// Arguments: a folder for settings and logs, the file of the record, and 0 to
+/// leave the disruptions out.
+int main(int count, char** arguments)
 {
+    if (count != 4)
+    {
+        return 2;
+    }
     const std::string folder = arguments[1];
     record_file record(arguments[2]);
     std::mutex record_mutex;
@@ -74,8 +80,7 @@
         const std::lock_guard lock(record_mutex);
         record.write("{}", text);
     };
-    const char* setting = std::getenv("TROUBLE");
-    const bool trouble = setting == nullptr || std::string(setting) != "0";
+    const bool trouble = std::string(arguments[3]) != "0";
 
     history seen;
     hosted_platform platform({.max_connections = 22});
--- a/review/8/case-2.cc
+++ b/review/support-2/case-8.cpp
@@ -1,4 +1,4 @@
-#include "entry_host.hh"
+#include "entry_host.hpp"
 
 // A primary is cut off from its replicas for 5 s. Meanwhile a host restarts,
 // and one replica is lost for good. Then all hosts are killed and start again.
@@ -35,10 +35,10 @@
             {"latest", "PUT"}, {"bounded", "FETCH"}, {"session", "FETCH"}};
         for (const auto& host : hosts)
         {
-            for (const auto& [database, word] : kinds)
+            for (const auto& kind : kinds)
             {
-                threads_.emplace_back([this, host, database, word]
-                                      { run(host, database, word); });
+                threads_.emplace_back([this, host, kind]
+                                      { run(host, kind.first, kind.second); });
             }
         }
     }
@@ -113,12 +113,17 @@
 
 } // namespace
 
-int main(int, char** arguments)
+/// Arguments: a folder for settings and logs, the file of the record, and 0 to
+/// leave the disruptions out.
+int main(int count, char** arguments)
 {
+    if (count != 4)
+    {
+        return 2;
+    }
     const std::string folder = arguments[1];
     record_file record(arguments[2]);
-    const char* setting = std::getenv("TROUBLE");
-    const bool trouble = setting == nullptr || std::string(setting) != "0";
+    const bool trouble = std::string(arguments[3]) != "0";
 
     hosted_platform platform({.max_connections = 22});
     platform.store().set_promotion_time(1s);
--- a/review/9/case-2.cc
+++ b/review/support-2/case-9.cpp
@@ -1,4 +1,4 @@
-#include "entry_host.hh"
+#include "entry_host.hpp"
 
 // A host stands still for 4 s while the configuration, which has many routes,
 // changes in quick succession. The last change withdraws a key.
@@ -16,6 +16,7 @@
 namespace
 {
 
+constexpr int host_count = 3;
 constexpr int changes = 12;
 constexpr auto change_interval = 330ms;
 constexpr auto freeze_time = 4s;
@@ -85,12 +86,17 @@
 
 } // namespace
 
-int main(int, char** arguments)
+/// Arguments: a folder for settings and logs, the file of the record, and 0 to
+/// leave the disruptions out.
+int main(int count, char** arguments)
 {
+    if (count != 4)
+    {
+        return 2;
+    }
     const std::string folder = arguments[1];
     record_file record(arguments[2]);
-    const char* setting = std::getenv("TROUBLE");
-    const bool trouble = setting == nullptr || std::string(setting) != "0";
+    const bool trouble = std::string(arguments[3]) != "0";
 
     hosted_platform platform({.max_connections = 50});
     auto& store = platform.store();
@@ -98,13 +104,15 @@
     store.put("op/config", first);
     record.write("configuration 1 has {} bytes", first.size());
     std::vector<std::string> versions;
+    versions.reserve(changes);
     for (unsigned number = 1; number <= changes; ++number)
     {
         versions.push_back(configuration(1 + number, number < changes));
     }
 
     std::vector<std::unique_ptr<entry_host>> hosts;
-    for (int index = 0; index < 3; ++index)
+    hosts.reserve(host_count);
+    for (int index = 0; index < host_count; ++index)
     {
         hosts.push_back(std::make_unique<entry_host>(
             folder, fmt::format("n{}", index + 1),
