Count a host that has gone as unknown in the survey of acknowledgements

Cause: acknowledgement_survey forgot a host whose registration had ended and then took the answers of the others for everything that clients had seen. A replica that has the writes and does not answer was passed over, and a replica without them was promoted. The log of the holder shows "hosts":3,"promised":3,"acknowledged":"1.3" while the host that had left had passed on 1.4 to 1.11.

Change: the survey notes when a host has gone, and is complete only since a later time, as after a restart of a host.

Both new tests fail without it. The model now stops hosts as planned, replaces them, and loses members.

--- a/include/zinniahub/acknowledgement_survey.hpp
+++ b/include/zinniahub/acknowledgement_survey.hpp
@@ -30,8 +30,9 @@
     /// @param duty see `hold_request`
     void reset(std::uint64_t duty);
 
+    /// @brief Sets the hosts. What a host that has gone passed on is unknown.
     /// @param hosts all hosts that may pass on acknowledgements
-    void set_hosts(const std::vector<std::string>& hosts);
+    void set_hosts(const std::vector<std::string>& hosts, time_point now);
 
     /// @brief Starts a hold for a candidate, or goes on with it.
     void hold(std::string_view candidate, std::uint64_t term, time_point now);
@@ -63,8 +64,8 @@
     /// @brief True if every host has promised.
     bool all_promised(time_point now) const;
     /// @brief True if `acknowledged` covers everything that clients have seen
-    /// acknowledged since a point in time: all hosts have promised, and have
-    /// run since before it.
+    /// acknowledged since a point in time: all hosts have promised, have run
+    /// since before it, and none has gone since.
     bool is_complete_since(time_point since, time_point now) const;
     /// @brief Highest position that clients have seen acknowledged, as far as
     /// hosts have answered.
@@ -100,6 +101,8 @@
     hold_request request_;
     std::map<std::string, host_state, std::less<>> hosts_;
     time_point since_ = time_point::min();
+    /// Time at which it became known that a host has gone.
+    time_point host_lost_at_ = time_point::min();
     log_position acknowledged_;
 };
 
--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -267,9 +267,9 @@
 
     /// @brief Sets the hosts that may pass acknowledgements on to clients.
     /// Without hosts, the planner relies on the statuses of the members alone.
-    void on_hosts(const std::vector<std::string>& hosts)
+    void on_hosts(const std::vector<std::string>& hosts, time_point now)
     {
-        survey_.set_hosts(hosts);
+        survey_.set_hosts(hosts, now);
     }
 
     /// @brief A host answered `failover_action::hold_acknowledgements`.
--- a/src/coordination/promotion_coordinator.cpp
+++ b/src/coordination/promotion_coordinator.cpp
@@ -158,7 +158,7 @@
     hosts_ = std::move(hosts);
     for (auto& [name, service] : services_)
     {
-        service.planner.on_hosts(hosts_);
+        service.planner.on_hosts(hosts_, clock::now());
     }
 }
 
@@ -250,7 +250,7 @@
     if (is_new)
     {
         found->second.planner.reset(duty_.taken_revision());
-        found->second.planner.on_hosts(hosts_);
+        found->second.planner.on_hosts(hosts_, clock::now());
     }
     return found->second;
 }
--- a/src/lib/acknowledgement_survey.cpp
+++ b/src/lib/acknowledgement_survey.cpp
@@ -12,12 +12,17 @@
     request_.duty = duty;
 }
 
-void acknowledgement_survey::set_hosts(const std::vector<std::string>& hosts)
+void acknowledgement_survey::set_hosts(
+    const std::vector<std::string>& hosts, time_point now)
 {
     const std::set<std::string_view> known(hosts.begin(), hosts.end());
-    std::erase_if(
+    const auto lost = std::erase_if(
         hosts_,
         [&known](const auto& entry) { return !known.contains(entry.first); });
+    if (lost > 0)
+    {
+        host_lost_at_ = now;
+    }
     for (const auto& host : hosts)
     {
         hosts_.try_emplace(host);
@@ -109,14 +114,14 @@
 bool acknowledgement_survey::is_complete_since(
     time_point since, time_point now) const
 {
-    return has_hosts() && std::all_of(
-                              hosts_.begin(), hosts_.end(),
-                              [this, since, now](const auto& entry)
-                              {
-                                  const auto& host = entry.second;
-                                  return has_promised(host, now) &&
-                                         host.started_at < since;
-                              });
+    return has_hosts() && host_lost_at_ < since &&
+           std::all_of(
+               hosts_.begin(), hosts_.end(),
+               [this, since, now](const auto& entry)
+               {
+                   const auto& host = entry.second;
+                   return has_promised(host, now) && host.started_at < since;
+               });
 }
 
 } // namespace zinniahub
--- a/tests/unit/changing_group_model.hpp
+++ b/tests/unit/changing_group_model.hpp
@@ -31,6 +31,10 @@
     bool late_orders = true;
     /// Hosts crash, or the holder does not reach them.
     bool host_failures = true;
+    /// Hosts stop as planned and are replaced.
+    bool host_replacements = true;
+    /// Members are lost for good, without an announcement.
+    bool member_losses = true;
 };
 
 struct member
@@ -54,6 +58,8 @@
     /// When the holder learns of a new member.
     time_point known_at{};
     time_point exits_at = never;
+    /// When the holder learns that the process has ended for good.
+    time_point unregistered_at = never;
     time_point restarts_at = never;
     time_point reached_again_at = never;
     time_point joined_again_at = never;
@@ -79,6 +85,8 @@
 struct host
 {
     bool running = true;
+    /// When the holder learns that the host has stopped as planned.
+    time_point unregistered_at = never;
     /// The holder of the duty reaches the host.
     bool reaches_holder = true;
     time_point started_at{};
@@ -132,6 +140,7 @@
 public:
     group(std::uint64_t seed, disturbances values)
         : random_(seed)
+        , replacements_random_(~seed)
         , values_(values)
         , planner_(failover_planner::settings{})
     {
@@ -162,6 +171,42 @@
         }
     }
 
+    /// Ends all disturbances and waits until no order is on its way. Members
+    /// and hosts that are not lost for good run and can be reached.
+    void end_all_disturbances()
+    {
+        disturbed_ = false;
+        for (auto& [name, state] : members_)
+        {
+            state.restarts_at = state.running || state.exited ? never : now_;
+            state.reached_again_at = now_;
+            state.joined_again_at = now_;
+        }
+        for (auto& [name, state] : hosts_)
+        {
+            state.restarts_at = state.running ? never : now_;
+            state.reached_again_at = now_;
+        }
+        orders_unanswered_until_ = now_;
+        holder_starts_at_ = std::min(holder_starts_at_, now_);
+        run(failover_planner::settings{}.arrival_limit);
+    }
+
+    /// Runs for some time.
+    /// @return false if no member led, or if clients saw no commit although a
+    /// replica runs
+    bool run_and_is_served(duration length)
+    {
+        const auto before = results_;
+        run(length);
+        const auto replicas = std::count_if(
+            members_.begin(), members_.end(),
+            [](const auto& entry)
+            { return entry.second.running && !entry.second.primary; });
+        return results_.without_primary - before.without_primary < length &&
+               (replicas == 0 || results_.acknowledged > before.acknowledged);
+    }
+
     const results& outcome() const
     {
         return results_;
@@ -172,16 +217,25 @@
     /// Time for which a host holds an acknowledgement.
     static constexpr duration hold_limit = 1s;
 
-    bool chance(double per_second)
+    static bool chance(std::mt19937_64& random, double per_second)
     {
-        return std::uniform_real_distribution<double>()(random_) <
+        return std::uniform_real_distribution<double>()(random) <
                per_second * to_seconds(step_length);
     }
+    bool chance(double per_second)
+    {
+        return chance(random_, per_second);
+    }
 
-    duration between(duration least, duration most)
+    static duration
+    between(std::mt19937_64& random, duration least, duration most)
     {
         return duration(std::uniform_int_distribution<duration::rep>(
-            least.count(), most.count())(random_));
+            least.count(), most.count())(random));
+    }
+    duration between(duration least, duration most)
+    {
+        return between(random_, least, most);
     }
 
     member& add_member(const std::string& name)
@@ -223,7 +277,10 @@
     {
         now_ += step_length;
         run_events();
-        draw_disturbances();
+        if (disturbed_)
+        {
+            draw_disturbances();
+        }
         end_disturbances();
         write();
         replicate();
@@ -293,6 +350,14 @@
         {
             draw_host_failures();
         }
+        if (values_.host_replacements && chance(replacements_random_, 0.15))
+        {
+            replace_host();
+        }
+        if (values_.member_losses && chance(replacements_random_, 0.05))
+        {
+            lose_member();
+        }
         if (chance(0.08))
         {
             planner_.reset();
@@ -319,6 +384,50 @@
         }
     }
 
+    /// A host stops as planned, after another one has started.
+    void replace_host()
+    {
+        std::vector<host*> running;
+        for (auto& [name, state] : hosts_)
+        {
+            if (state.running)
+            {
+                running.push_back(&state);
+            }
+        }
+        if (running.empty())
+        {
+            return;
+        }
+        auto& leaving = *running[replacements_random_() % running.size()];
+        auto& joined = hosts_["h" + std::to_string(hosts_.size() + 1)];
+        joined.started_at = now_;
+        joined.hold.on_record(published_order_, published_term_, now_);
+        leaving.running = false;
+        leaving.unregistered_at =
+            now_ + between(replacements_random_, 0ms, 300ms);
+    }
+
+    /// A member is lost for good. Its registration ends some time later.
+    void lose_member()
+    {
+        const auto lost = std::next(
+            members_.begin(), static_cast<std::ptrdiff_t>(
+                                  replacements_random_() % members_.size()));
+        auto& state = lost->second;
+        const auto left = std::count_if(
+            members_.begin(), members_.end(),
+            [](const auto& entry) { return !entry.second.exited; });
+        if (!state.exited && left > 2 && others_hold_acknowledged(lost->first))
+        {
+            state.exited = true;
+            state.running = false;
+            state.restarts_at = never;
+            state.unregistered_at =
+                now_ + between(replacements_random_, 1s, 4s);
+        }
+    }
+
     /// A new member starts; another one drains soon after.
     void replace_member()
     {
@@ -357,6 +466,7 @@
                 state.exited = true;
                 state.running = false;
                 state.restarts_at = never;
+                state.unregistered_at = now_;
             }
             if (now_ >= state.restarts_at)
             {
@@ -378,7 +488,7 @@
         }
         for (auto& [name, state] : hosts_)
         {
-            if (now_ >= state.restarts_at)
+            if (now_ >= state.restarts_at && state.unregistered_at == never)
             {
                 state = {};
                 state.started_at = now_;
@@ -680,7 +790,7 @@
 
     bool is_registered(const member& state) const
     {
-        return state.known_at <= now_ && !state.exited;
+        return state.known_at <= now_ && now_ < state.unregistered_at;
     }
 
     void update_members()
@@ -718,9 +828,12 @@
         std::vector<std::string> names;
         for (const auto& [name, state] : hosts_)
         {
-            names.push_back(name);
+            if (now_ < state.unregistered_at)
+            {
+                names.push_back(name);
+            }
         }
-        planner_.on_hosts(names);
+        planner_.on_hosts(names, now_);
         publish_record();
     }
 
@@ -913,6 +1026,9 @@
     }
 
     std::mt19937_64 random_;
+    /// Draws the replacements of hosts and the losses of members, so that the
+    /// other draws of a seed stay as they are without them.
+    std::mt19937_64 replacements_random_;
     disturbances values_;
     time_point now_{std::chrono::hours(1)};
     failover_planner planner_;
@@ -939,6 +1055,7 @@
     std::uint64_t epoch_ = 0;
     time_point next_tick_{};
     std::size_t changes_ = 0;
+    bool disturbed_ = true;
     results results_;
 };
 
--- a/tests/unit/service_model.hpp
+++ b/tests/unit/service_model.hpp
@@ -17,11 +17,12 @@
 
 inline const time_point start{std::chrono::hours(1)};
 
-/// Simulates the platform, the members of one service and a host that reads at
-/// its primary. Late orders arrive in any order, and fencing tokens are checked
-/// when an order arrives. An accepted order takes effect `promotion_time_`
-/// later, whatever is ordered meanwhile. If the platform does not check tokens,
-/// a replaced primary leads until it is told to step down.
+/// Simulates the platform, the members of one service, the hosts through which
+/// clients write and a host that reads at its primary. Late orders arrive in
+/// any order, and fencing tokens are checked when an order arrives. An accepted
+/// order takes effect `promotion_time_` later, whatever is ordered meanwhile.
+/// If the platform does not check tokens, a replaced primary leads until it is
+/// told to step down.
 class service
 {
 public:
@@ -37,6 +38,13 @@
         time_point started_at = start - 1h;
         time_point crashed_at = start - 1h;
     };
+    struct host
+    {
+        acknowledgement_hold hold;
+        time_point started_at{};
+        /// False while the holder of the duty does not reach the host.
+        bool answers = true;
+    };
     struct late_order
     {
         std::string instance;
@@ -136,32 +144,61 @@
     /// it holds it.
     bool passes_on(const std::string& primary, log_position position)
     {
-        const auto required = hold_.required_member(primary, position, now_);
+        const auto through = hosts_.find(writing_host_);
+        if (through == hosts_.end())
+        {
+            return true;
+        }
+        auto& hold = through->second.hold;
+        const auto required = hold.required_member(primary, position, now_);
         if (required &&
             (required->empty() || members_[*required].received < position))
         {
             return false;
         }
-        hold_.on_passed_on(position);
+        hold.on_passed_on(position);
         return true;
     }
 
-    void add_host()
+    void add_host(const std::string& name = "h1")
     {
-        planner_.on_hosts({"h1"});
+        hosts_[name].started_at = now_;
+        update_hosts();
     }
 
-    void hold_acknowledgements(const hold_request& request)
+    /// A host stops, and its registration ends.
+    void remove_host(const std::string& name)
     {
-        if (host_answers_ && hold_.on_request(request, now_))
+        hosts_.erase(name);
+        update_hosts();
+    }
+
+    void update_hosts()
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, state] : hosts_)
         {
-            planner_.on_hold_answer(
-                {.host = "h1",
-                 .duty = request.duty,
-                 .number = request.number,
-                 .acknowledged = hold_.acknowledged(),
-                 .uptime = 1h},
-                now_);
+            names.push_back(name);
+        }
+        planner_.on_hosts(names, now_);
+    }
+
+    void hold_acknowledgements(const failover_action::hold_acknowledgements& to)
+    {
+        const auto& request = to.request;
+        for (const auto& name : to.hosts)
+        {
+            auto& asked = hosts_[name];
+            if (asked.answers && asked.hold.on_request(request, now_))
+            {
+                planner_.on_hold_answer(
+                    {.host = name,
+                     .duty = request.duty,
+                     .number = request.number,
+                     .acknowledged = asked.hold.acknowledged(),
+                     .uptime = now_ - asked.started_at},
+                    now_);
+            }
         }
     }
 
@@ -427,7 +464,7 @@
                     std::get_if<failover_action::hold_acknowledgements>(
                         &action))
             {
-                hold_acknowledgements(survey->request);
+                hold_acknowledgements(*survey);
             }
             else if (
                 const auto* order =
@@ -499,9 +536,9 @@
     /// these, cannot reach.
     std::set<std::string> unreachable_through_hosts_;
     std::set<std::string> ignores_step_down_;
-    /// False while the holder does not reach the host.
-    bool host_answers_ = true;
-    acknowledgement_hold hold_;
+    std::map<std::string, host> hosts_;
+    /// Host through which clients write.
+    std::string writing_host_ = "h1";
     /// Replicas that receive nothing from the primary.
     std::set<std::string> not_replicating_;
     std::vector<late_order> late_orders_;
--- a/tests/unit/unit-acknowledgement_hold.cpp
+++ b/tests/unit/unit-acknowledgement_hold.cpp
@@ -114,7 +114,7 @@
 TEST(acknowledgement_survey, needs_a_new_promise_for_another_candidate)
 {
     acknowledgement_survey survey;
-    survey.set_hosts({"h1"});
+    survey.set_hosts({"h1"}, start);
     survey.hold("i-2", 3, start);
     survey.on_answer({"h1", 0, 1, {3, 7}, 1h}, start);
     EXPECT_TRUE(survey.all_promised(start));
@@ -128,7 +128,7 @@
     acknowledgement_survey, host_that_has_just_started_does_not_know_everything)
 {
     acknowledgement_survey survey;
-    survey.set_hosts({"h1"});
+    survey.set_hosts({"h1"}, start);
     survey.hold("i-2", 3, start);
     survey.on_answer({"h1", 0, 1, {}, 1s}, start);
     EXPECT_TRUE(survey.all_promised(start));
@@ -141,7 +141,7 @@
 TEST(acknowledgement_survey, promise_ends_with_the_answers)
 {
     acknowledgement_survey survey;
-    survey.set_hosts({"h1"});
+    survey.set_hosts({"h1"}, start);
     survey.hold("i-2", 3, start);
     survey.on_answer({"h1", 0, 1, {3, 7}, 1h}, start);
     const auto late = start + acknowledgement_survey::answer_validity;
@@ -154,7 +154,7 @@
 TEST(acknowledgement_survey, repeats_requests_until_they_have_ended)
 {
     acknowledgement_survey survey;
-    survey.set_hosts({"h1", "h2"});
+    survey.set_hosts({"h1", "h2"}, start);
     survey.hold("i-2", 3, start);
     EXPECT_EQ(survey.due_hosts(start).size(), 2U);
     EXPECT_TRUE(survey.due_hosts(start + 10ms).empty());
@@ -167,3 +167,19 @@
         survey.due_hosts(start + 300ms + acknowledgement_survey::release_limit)
             .empty());
 }
+
+// Guards against a survey that counts as complete without the commits which a
+// host had passed on before it went.
+TEST(acknowledgement_survey, host_that_has_gone_leaves_it_incomplete)
+{
+    acknowledgement_survey survey;
+    survey.reset(1);
+    survey.set_hosts({"h1", "h2"}, start);
+    survey.set_hosts({"h1"}, start + 10s);
+    survey.hold("i-2", 3, start + 10s);
+    survey.on_answer(
+        {.host = "h1", .duty = 1, .number = 1, .uptime = 1h}, start + 10s);
+    EXPECT_TRUE(survey.all_promised(start + 10s));
+    EXPECT_FALSE(survey.is_complete_since(start + 9s, start + 10s));
+    EXPECT_TRUE(survey.is_complete_since(start + 10001ms, start + 10s));
+}
--- a/tests/unit/unit-failover_membership.cpp
+++ b/tests/unit/unit-failover_membership.cpp
@@ -118,7 +118,7 @@
 // Guards against a service without a primary because one host does not answer.
 TEST_F(failover_acknowledgements, order_waits_shortly_for_a_silent_host)
 {
-    model.host_answers_ = false;
+    model.hosts_["h1"].answers = false;
     model.members_["a"].running = false;
     const auto crashed_at = model.now_;
     while (model.orders_ == 0 && model.now_ < crashed_at + 10s)
@@ -155,7 +155,7 @@
 {
     model.members_["a"].unreachable = true;
     model.unreachable_through_hosts_ = {"a"};
-    while (model.hold_.requested_candidate().empty())
+    while (model.hosts_["h1"].hold.requested_candidate().empty())
     {
         model.members_["b"].unreachable = true;
         model.members_["c"].unreachable =
@@ -168,5 +168,25 @@
         state.unreachable = false;
     }
     model.run(2s);
-    EXPECT_EQ(model.hold_.requested_candidate(), "");
+    EXPECT_EQ(model.hosts_["h1"].hold.requested_candidate(), "");
+}
+
+// Guards against the loss of commits that a host had passed on before it
+// stopped as planned: one replica receives nothing, the other one, which has
+// them, is down for a while, and the primary that has them answers.
+TEST_F(failover_acknowledgements, commits_passed_on_by_a_host_that_left_count)
+{
+    model.add_host("h2");
+    model.run(1s);
+    model.not_replicating_ = {"b"};
+    model.writing_host_ = "h2";
+    model.commit();
+    model.run(1s);
+    model.writing_host_ = "h1";
+    model.remove_host("h2");
+    model.crash("c");
+    model.commit();
+    model.run(5s);
+    EXPECT_FALSE(model.commit_lost_);
+    EXPECT_NE(model.primary_name(), "b");
 }
