Promote a former primary that has stepped down; step down only before an order

Cause: failover_planner told a primary to step down before it was known that its candidate may be promoted, and did not judge a former primary by its log: the order waited without end for the status of the lost replica. The next holder dropped the recorded primary when it answered as a replica and waited for the lost one too.

A primary that led the newest term, has stepped down and kept its log is promoted again after 0.5 s if no other member may be, unless an order for another member may have taken effect; such an order stays in the record until its member has answered.

Three of the four new tests fail on the code before, the fourth without the condition on orders.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -177,6 +177,12 @@
 /// has passed on is not known: the order then also waits while a member that
 /// has exited, or the old primary, may hold commits that the candidate lacks.
 ///
+/// A primary that has stepped down and kept its log has every acknowledged
+/// commit, unless an order for another member may have taken effect. So it is
+/// promoted again if no other member may be, without the answers of hosts or of
+/// other members. A primary whose candidate receives nothing is told to step
+/// down only if the candidate may be promoted then; else it goes on leading.
+///
 /// An order that may have been accepted is pending until its member leads, has
 /// exited, or a time limit has passed. Neither a fencing token nor an order for
 /// another member recalls it: it takes effect with the log that the member then
@@ -231,6 +237,10 @@
         /// Longest delay of an order until a primary that only other hosts
         /// reach has stepped down.
         duration step_down_limit = std::chrono::milliseconds(1000);
+        /// Time after which a primary that has stepped down is promoted again
+        /// if no other member may be. Hosts that reach the holder have answered
+        /// by then.
+        duration reinstatement_delay = std::chrono::milliseconds(500);
         /// Time before `order_delay` at which the hosts are asked to hold
         /// acknowledgements, while the primary responds.
         duration hold_lead = std::chrono::milliseconds(100);
@@ -439,6 +449,14 @@
     const member_state* find_candidate(time_point now) const;
     bool candidate_is_unfit(time_point now) const;
     bool a_paused_replica_is_ahead(const member_state& candidate) const;
+    /// True for a primary that has stepped down, kept its log, and was not
+    /// replaced: it has every acknowledged commit, whatever is known of the
+    /// hosts and the other members.
+    bool may_be_reinstated(const member_state& member, time_point now) const;
+    void update_former_primary(time_point now);
+    /// True if the former primary must become the candidate, because the
+    /// present one may not be promoted.
+    bool must_reinstate_primary(time_point now) const;
     /// Keeps or replaces the candidate.
     const member_state* update_candidate(bool primary_responds, time_point now);
     bool all_have_answered() const;
@@ -466,6 +484,12 @@
     bool candidate_is_deaf(time_point now) const;
     /// True if the primary must not commit before the order is sent.
     bool must_step_down_before_order(time_point now) const;
+    /// True if the candidate may be promoted once the primary has stepped down,
+    /// as far as is known.
+    bool order_may_follow(const member_state& candidate, time_point now) const;
+    /// True if the primary commits nothing for lack of the candidate, which
+    /// may not be promoted either.
+    bool failover_is_stuck(const member_state& candidate, time_point now) const;
     /// True if the primary might commit without the member whose order is
     /// pending.
     bool must_step_down_after_order(
@@ -482,13 +506,17 @@
     bool awaits_order(time_point now) const;
     /// True while an order of another member may still take effect.
     bool awaits_other_order(std::string_view instance, time_point now) const;
+    /// True if an order may have taken effect for another member than the last
+    /// known primary, although its time limit has passed.
+    bool order_may_have_taken_effect(time_point now) const;
     /// True for a member that leads by an order which may be carried out again.
     /// That changes nothing until the member steps down.
     bool may_be_promoted_again(std::string_view instance, time_point now) const;
     /// The member of the order leads.
     void on_order_executed();
     void clear_order();
-    void clear_order_of_exited_member();
+    /// Forgets an order that can no longer take effect unseen.
+    void clear_settled_order(time_point now);
     void complete_recorded_order(time_point now);
     void demote_replaced_primaries(
         std::vector<failover_step>& steps, time_point now);
@@ -546,6 +574,8 @@
     std::optional<time_point> candidate_behind_since_;
     /// Time since which the candidate does not receive the primary's entries.
     std::optional<time_point> candidate_deaf_since_;
+    /// Time since which the former primary may be reinstated.
+    std::optional<time_point> reinstatable_since_;
     time_point next_step_down_ = time_point::min();
     /// Time since which an order waits for the step-down of a primary that only
     /// other hosts reach.
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -139,7 +139,10 @@
     member.refused_since.reset();
     if (primary_from_record_ && instance == primary_)
     {
-        primary_.clear();
+        // With entries of the recorded term, it led that term and has kept its
+        // log.
+        const bool led_recorded_term = status.received.term == primary_term_;
+        primary_ = led_recorded_term ? found->first : std::string();
         primary_from_record_ = false;
     }
     if (status.primary && status.term >= primary_term_)
--- a/src/lib/failover_orders.cpp
+++ b/src/lib/failover_orders.cpp
@@ -38,9 +38,33 @@
     return order_is_pending(now) && ordered_ != instance;
 }
 
-std::string_view failover_planner::pending_order(time_point now) const
+bool failover_planner::order_may_have_taken_effect(time_point now) const
 {
+    if (ordered_.empty() || ordered_ == primary_)
+    {
+        return false;
+    }
     if (order_is_pending(now))
+    {
+        return true;
+    }
+    const auto* primary = current_primary(now);
+    const auto found = members_.find(ordered_);
+    const bool primary_goes_on =
+        primary != nullptr && primary->queried_at > order_pending_until_;
+    if (order_pending_until_ == time_point::min() || primary_goes_on ||
+        found == members_.end() || has_shut_down(found->second))
+    {
+        return false;
+    }
+    const auto& member = found->second;
+    return !is_fresh(member, now) || member.status->primary ||
+           member.queried_at <= order_pending_until_;
+}
+
+std::string_view failover_planner::pending_order(time_point now) const
+{
+    if (order_may_have_taken_effect(now) || order_is_pending(now))
     {
         return ordered_;
     }
@@ -84,11 +108,14 @@
     return found != repeatable_orders_.end() && now < found->second;
 }
 
-void failover_planner::clear_order_of_exited_member()
+void failover_planner::clear_settled_order(time_point now)
 {
     const auto found = members_.find(ordered_);
-    if (found != members_.end() && has_shut_down(found->second) &&
-        !promotion_pending_)
+    const bool has_exited = found != members_.end() &&
+                            has_shut_down(found->second) && !promotion_pending_;
+    const bool has_settled =
+        !order_is_pending(now) && !order_may_have_taken_effect(now);
+    if (has_exited || has_settled)
     {
         clear_order();
     }
@@ -105,7 +132,7 @@
     }
     if (!order_is_pending(now))
     {
-        clear_order();
+        order_from_record_ = false;
         return;
     }
     if (!all_have_answered() || (primary == nullptr && !primary_is_lost(now)))
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -241,8 +241,8 @@
         member.unresponsive_since &&
         now - *member.unresponsive_since >= settings_.unresponsive_limit;
     return silent || member.refused_since ||
-           (member.definition.leaving &&
-            !may_lead_while_leaving(member, now)) ||
+           (member.definition.leaving && !may_lead_while_leaving(member, now) &&
+            !may_be_reinstated(member, now)) ||
            has_shut_down(member) || (member.status && member.status->primary);
 }
 
@@ -260,6 +260,50 @@
         });
 }
 
+// It has the commits of earlier terms since its promotion, and acknowledged
+// those of its own term itself.
+bool failover_planner::may_be_reinstated(
+    const member_state& member, time_point now) const
+{
+    const bool has_led =
+        member.definition.instance == primary_ && !primary_from_record_;
+    if (!has_led || !is_fresh(member, now) || member.status->primary ||
+        order_may_have_taken_effect(now))
+    {
+        return false;
+    }
+    const auto received = member.status->received;
+    const bool has_kept_its_log = primary_positions_.empty() ||
+                                  received >= primary_positions_.back().second;
+    const bool is_farthest = std::all_of(
+        members_.begin(), members_.end(),
+        [received](const auto& entry)
+        {
+            const auto& other = entry.second;
+            return !other.status || other.status->received <= received;
+        });
+    return has_kept_its_log && is_farthest &&
+           received >= survey_.acknowledged();
+}
+
+void failover_planner::update_former_primary(time_point now)
+{
+    const auto former = members_.find(primary_);
+    if (former == members_.end() || !may_be_reinstated(former->second, now))
+    {
+        reinstatable_since_.reset();
+        return;
+    }
+    reinstatable_since_ = reinstatable_since_.value_or(now);
+}
+
+bool failover_planner::must_reinstate_primary(time_point now) const
+{
+    return reinstatable_since_ && candidate_ != primary_ &&
+           now - *reinstatable_since_ >= settings_.reinstatement_delay &&
+           !promotion_pending_ && !is_order_justified(candidate_, now);
+}
+
 const failover_planner::member_state*
 failover_planner::update_candidate(bool primary_responds, time_point now)
 {
@@ -283,11 +327,13 @@
     const bool stays_behind =
         behind && !primary_responds &&
         now - *candidate_behind_since_ >= settings_.behind_limit;
-    if (!stays_behind && !candidate_is_unfit(now))
+    const bool reinstate = must_reinstate_primary(now);
+    if (!stays_behind && !reinstate && !candidate_is_unfit(now))
     {
         return candidate;
     }
-    candidate = choose_candidate(now);
+    candidate =
+        reinstate ? &members_.find(primary_)->second : choose_candidate(now);
     if (candidate != nullptr && primary_responds && is_paused(*candidate))
     {
         candidate = nullptr;
@@ -413,16 +459,45 @@
     return !settings_.tokens_checked || !all_paused || receives_nothing;
 }
 
+bool failover_planner::order_may_follow(
+    const member_state& candidate, time_point now) const
+{
+    if (!candidate_is_deaf(now))
+    {
+        return true;
+    }
+    return survey_.has_hosts() ? has_all_acknowledged(candidate, now)
+                               : covers_ended_members(candidate);
+}
+
+bool failover_planner::failover_is_stuck(
+    const member_state& candidate, time_point now) const
+{
+    return candidate_is_deaf(now) &&
+           now - *candidate_deaf_since_ >= settings_.stall_limit &&
+           !promotion_pending_ && !awaits_order(now) &&
+           !order_may_follow(candidate, now);
+}
+
 bool failover_planner::is_order_justified(
     std::string_view instance, time_point now) const
 {
     const auto* candidate = find_candidate(now);
-    return phase_ == phase::changing && candidate != nullptr &&
-           candidate_ == instance && primary_proof_has_expired(now) &&
-           !awaits_other_order(instance, now) &&
-           (sync_replicas_ == 0 || (statuses_justify_order(*candidate, now) &&
-                                    !a_paused_replica_is_ahead(*candidate) &&
-                                    has_acknowledged_commits(*candidate, now)));
+    if (phase_ != phase::changing || candidate == nullptr ||
+        candidate_ != instance || !primary_proof_has_expired(now) ||
+        awaits_other_order(instance, now))
+    {
+        return false;
+    }
+    if (sync_replicas_ == 0)
+    {
+        return true;
+    }
+    const bool has_everything = statuses_justify_order(*candidate, now) &&
+                                !a_paused_replica_is_ahead(*candidate) &&
+                                has_acknowledged_commits(*candidate, now);
+    return has_everything ||
+           (is_recent(*candidate, now) && may_be_reinstated(*candidate, now));
 }
 
 void failover_planner::start_failover(time_point now)
@@ -434,6 +509,7 @@
     candidate_.clear();
     candidate_behind_since_.reset();
     candidate_deaf_since_.reset();
+    reinstatable_since_.reset();
     order_unknown_ = false;
     all_paused_since_.reset();
     step_down_awaited_since_.reset();
@@ -518,6 +594,7 @@
     const bool still_needed = primary == nullptr ||
                               primary->definition.leaving ||
                               primary_is_stalled(*primary, now);
+    update_former_primary(now);
     const auto* candidate = update_candidate(primary != nullptr, now);
     const bool abandoned = !still_needed && !awaits_order(now);
     const bool no_candidate = primary != nullptr && candidate_.empty();
@@ -557,12 +634,18 @@
     const bool step_down = pause && primary != nullptr &&
                            must_step_down_before_order(now) &&
                            !awaits_other_order(candidate_, now) &&
-                           statuses_justify_order(*candidate, now);
+                           statuses_justify_order(*candidate, now) &&
+                           order_may_follow(*candidate, now);
     if (step_down)
     {
         request_step_down(steps, false, now);
         return;
     }
+    if (pause && primary != nullptr && failover_is_stuck(*candidate, now))
+    {
+        start_restoring();
+        return;
+    }
     const bool early = primary != nullptr && sync_replicas_ > 0 &&
                        now - failover_started_at_ < settings_.order_delay;
     if (promotion_pending_ || early || now < next_promotion_ ||
@@ -618,7 +701,7 @@
     query_members(steps, now);
     update_ended_members(now);
     update_incomplete_group(now);
-    clear_order_of_exited_member();
+    clear_settled_order(now);
     if (!settings_.tokens_checked)
     {
         demote_replaced_primaries(steps, now);
--- a/tests/unit/unit-failover_membership.cpp
+++ b/tests/unit/unit-failover_membership.cpp
@@ -190,3 +190,103 @@
     EXPECT_FALSE(model.commit_lost_);
     EXPECT_NE(model.primary_name(), "b");
 }
+
+// Guards against a service without a primary for good: a primary that was cut
+// off from its replicas stepped down although nobody could be promoted, because
+// a host had restarted.
+TEST_F(failover_acknowledgements, primary_leads_on_if_nobody_may_follow)
+{
+    model.add_host("h2");
+    model.run(1s);
+    model.not_replicating_ = {"b", "c"};
+    model.commit();
+    model.remove_host("h2");
+    model.add_host("h2");
+    model.run(3s);
+    EXPECT_TRUE(model.members_["a"].primary);
+    model.members_["b"].running = false;
+    model.run(3s);
+    EXPECT_TRUE(model.members_["a"].primary);
+    model.not_replicating_.clear();
+    model.run(2s);
+    const auto before = model.acknowledged_;
+    model.commit();
+    EXPECT_GT(model.acknowledged_, before);
+}
+
+namespace
+{
+
+/// The primary a has stepped down, the replica b is lost for good, and what
+/// hosts have passed on is not known.
+void lose_candidate_after_step_down(service_model::service& model)
+{
+    model.add_host("h2");
+    model.run(1s);
+    model.not_replicating_ = {"c"};
+    model.commit();
+    model.members_["a"].primary = false;
+    model.members_["b"].running = false;
+    model.unregistered_ = {"b"};
+    model.remove_host("h2");
+    model.update_planner();
+}
+
+} // namespace
+
+// Guards against a service without a primary for good, if a replica is lost
+// after the primary has stepped down.
+TEST_F(failover_acknowledgements, former_primary_leads_if_nobody_else_may)
+{
+    lose_candidate_after_step_down(model);
+    model.run(3s);
+    EXPECT_EQ(model.primary_name(), "a");
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against a service without a primary for good after the hosts have
+// restarted: the next holder knows only the record.
+TEST_F(failover_acknowledgements, next_holder_lets_the_former_primary_lead)
+{
+    lose_candidate_after_step_down(model);
+    model.transfer_duty();
+    model.remove_host("h1");
+    model.add_host("h1");
+    model.run(3s);
+    EXPECT_EQ(model.primary_name(), "a");
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against the loss of commits of a member whose order got no reply, and
+// which leads without an answer to the holder.
+TEST_F(failover_acknowledgements, former_primary_does_not_follow_unseen_order)
+{
+    for (const bool duty_is_transferred : {false, true})
+    {
+        service_model::service group;
+        group.add_host();
+        group.run(1s);
+        group.members_["a"].unreachable = true;
+        while (group.late_orders_.empty())
+        {
+            group.tick(50ms, true);
+            ASSERT_LT(group.now_, service_model::start + 10s);
+        }
+        const auto promoted = group.late_orders_.front().instance;
+        EXPECT_TRUE(group.execute(group.late_orders_.front()));
+        group.members_["a"].unreachable = false;
+        group.members_["b"].unreachable = true;
+        group.members_["c"].unreachable = true;
+        group.not_replicating_ = {"a"};
+        group.commit();
+        if (duty_is_transferred)
+        {
+            group.run(15s);
+            group.recorded_order_ = group.planner_.pending_order(group.now_);
+            group.transfer_duty();
+        }
+        group.run(20s);
+        EXPECT_EQ(group.primary_name(), promoted);
+        EXPECT_FALSE(group.commit_lost_);
+    }
+}
