Do not wait for good for the status of a member that is lost

Without a primary for good: the primary and a replica are lost without an announcement, and what the hosts have passed on is not known. Found by the random test that asks for a primary after the last disturbance.

Cause: an order waited for the status of every member that had not announced its end. Change: a member that is not registered and has refused connections for 10 s, the time for which an order waits for an old primary, is not asked any more; its last positions count as those of an exited member. One that is cut off does not refuse and is waited for as before.

The new test fails before the change.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -381,9 +381,12 @@
         std::optional<time_point> unresponsive_since;
         std::optional<time_point> refused_since;
         time_point last_refused_at = time_point::min();
-        /// Time at which the end of the member became known.
+        /// Time at which the end of the member became known, or at which it
+        /// had been down for too long to be waited for.
         std::optional<time_point> ended_at;
-        /// Highest known term at that time.
+        /// The member may return with its log: it stays in the group.
+        bool may_return = false;
+        /// Highest known term at `ended_at`.
         std::uint64_t ended_in_term = 0;
         /// Position up to which its log may hold the only copies of commits:
         /// that of the primary after that time, or the last known one.
@@ -396,8 +399,15 @@
     using member_map = std::map<std::string, member_state, std::less<>>;
 
     bool is_fresh(const member_state& member, time_point now) const;
-    /// True if the member has exited and its log is gone.
+    /// True if the member has ended as announced, or was replaced.
     static bool has_shut_down(const member_state& member);
+    /// True if the member has not run for so long that it is not expected back.
+    bool stays_down(const member_state& member, time_point now) const;
+    /// True if no order waits for the status of the member.
+    static bool is_gone(const member_state& member)
+    {
+        return has_shut_down(member) || member.ended_at;
+    }
     const member_state* current_primary(time_point now) const;
     void update_ended_members(time_point now);
     log_position last_position_before_end(const member_state& ended) const;
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -225,6 +225,14 @@
             member.refused_since.has_value());
 }
 
+// A member that is cut off does not refuse connections.
+bool failover_planner::stays_down(
+    const member_state& member, time_point now) const
+{
+    return !member.definition.registered && member.refused_since &&
+           now - *member.refused_since >= settings_.missing_commits_limit;
+}
+
 void failover_planner::update_ended_members(time_point now)
 {
     const auto* primary = current_primary(now);
@@ -234,7 +242,9 @@
                                   !member.definition.registered;
         const bool silent = unregistered && member.unresponsive_since &&
                             now - *member.unresponsive_since >= shutdown_limit;
-        if (!has_shut_down(member) && !silent)
+        const bool has_exited = has_shut_down(member) || silent;
+        member.may_return = !has_exited;
+        if (!has_exited && !stays_down(member, now))
         {
             member.ended_at.reset();
             member.needed_position.reset();
@@ -305,7 +315,8 @@
                                 primary_term_ > member.ended_in_term;
         const bool covered = member.needed_position_is_final &&
                              farthest >= *member.needed_position;
-        if (instance != primary_ && (later_term || covered))
+        if (instance != primary_ && !member.may_return &&
+            (later_term || covered))
         {
             retired.push_back(instance);
         }
--- a/src/lib/failover_orders.cpp
+++ b/src/lib/failover_orders.cpp
@@ -53,7 +53,7 @@
     const bool primary_goes_on =
         primary != nullptr && primary->queried_at > order_pending_until_;
     if (order_pending_until_ == time_point::min() || primary_goes_on ||
-        found == members_.end() || has_shut_down(found->second))
+        found == members_.end() || is_gone(found->second))
     {
         return false;
     }
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -92,7 +92,7 @@
                    const bool presumed_lost = primary_from_record_ &&
                                               entry.first == primary_ &&
                                               !is_fresh(member, now);
-                   return presumed_lost || has_shut_down(member) ||
+                   return presumed_lost || is_gone(member) ||
                           (is_fresh(member, now) && !member.status->primary);
                });
 }
@@ -349,8 +349,7 @@
     const member_state& member, std::string_view candidate) const
 {
     const auto& instance = member.definition.instance;
-    return instance != primary_ && instance != candidate &&
-           !has_shut_down(member);
+    return instance != primary_ && instance != candidate && !is_gone(member);
 }
 
 void failover_planner::pause_other_replicas(
--- a/tests/unit/unit-failover_membership.cpp
+++ b/tests/unit/unit-failover_membership.cpp
@@ -290,3 +290,20 @@
         EXPECT_FALSE(group.commit_lost_);
     }
 }
+
+// Guards against a promotion that waits for good for a replica which is lost
+// together with the primary.
+TEST_F(failover_acknowledgements, order_waits_up_to_a_limit_for_a_lost_replica)
+{
+    model.remove_host("h1");
+    model.add_host("h1");
+    model.members_["a"].running = false;
+    model.members_["b"].running = false;
+    model.unregistered_ = {"a", "b"};
+    model.transfer_duty();
+    const failover_planner::settings values;
+    model.run(values.missing_commits_limit - 1s);
+    EXPECT_EQ(model.orders_, 0U);
+    model.run(3s);
+    EXPECT_EQ(model.primary_name(), "c");
+}
