End the wait for positions that no member can have any more

Without a primary for good: the primary and a replica have exited, and the candidate lacks positions that the last one had reported.

Cause: nothing ended the wait for the positions of exited members if the primary had exited too.

Measured: the new test fails before the change.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -429,6 +429,10 @@
     /// and that the candidate lacks.
     bool lacks_passed_on_commits(
         const member_state& candidate, time_point now) const;
+    /// True if no other member that is not gone may have a commit which the
+    /// candidate lacks.
+    bool
+    has_remaining_commits(const member_state& candidate, time_point now) const;
     /// True if it is known that the candidate has everything that clients have
     /// seen acknowledged.
     bool
--- a/src/lib/failover_acknowledgements.cpp
+++ b/src/lib/failover_acknowledgements.cpp
@@ -164,6 +164,20 @@
     return !behind_primary && knows_last_commits;
 }
 
+bool failover_planner::has_remaining_commits(
+    const member_state& candidate, time_point now) const
+{
+    return std::all_of(
+        members_.begin(), members_.end(),
+        [this, &candidate, now](const auto& entry)
+        {
+            const auto& member = entry.second;
+            return is_gone(member) ||
+                   (is_fresh(member, now) &&
+                    member.status->received <= candidate.status->received);
+        });
+}
+
 bool failover_planner::has_acknowledged_commits(
     const member_state& candidate, time_point now) const
 {
@@ -184,10 +198,17 @@
     {
         return false;
     }
-    return has_all_acknowledged(candidate, now) ||
-           (covers_ended_members(candidate) &&
-            (now - failover_started_at_ >= settings_.missing_commits_limit ||
-             covers_unknown_commits(candidate)));
+    if (has_all_acknowledged(candidate, now))
+    {
+        return true;
+    }
+    if (now - failover_started_at_ < settings_.missing_commits_limit)
+    {
+        return covers_ended_members(candidate) &&
+               covers_unknown_commits(candidate);
+    }
+    return covers_ended_members(candidate) ||
+           has_remaining_commits(candidate, now);
 }
 
 } // namespace zinniahub
--- a/tests/unit/unit-failover_membership.cpp
+++ b/tests/unit/unit-failover_membership.cpp
@@ -307,3 +307,22 @@
     model.run(3s);
     EXPECT_EQ(model.primary_name(), "c");
 }
+
+// Guards against a promotion that waits for good for positions of members that
+// have exited, if no member that is left may have more.
+TEST_F(failover_acknowledgements, order_waits_up_to_a_limit_for_lost_positions)
+{
+    model.not_replicating_ = {"b"};
+    model.commit();
+    model.run(1s);
+    model.leaving_ = {"a", "c"};
+    model.shutting_down_ = {"a", "c"};
+    model.members_["a"].running = false;
+    model.members_["c"].running = false;
+    model.update_planner();
+    const failover_planner::settings values;
+    model.run(values.missing_commits_limit - 1s);
+    EXPECT_EQ(model.orders_, 0U);
+    model.run(3s);
+    EXPECT_EQ(model.primary_name(), "b");
+}
