Promote a leaving replica that is ahead of those that stay

Without a primary until a leaving replica has exited: it is paused and ahead, so no other one may be promoted, and it became the candidate only if hosts had told a position that nobody else has. Change: it may lead if no replica that stays has received as much.

The new test fails before the change.

--- a/src/lib/failover_acknowledgements.cpp
+++ b/src/lib/failover_acknowledgements.cpp
@@ -123,17 +123,16 @@
 bool failover_planner::may_lead_while_leaving(
     const member_state& member, time_point now) const
 {
-    return current_primary(now) == nullptr &&
-           survey_.acknowledged() > log_position{} &&
+    return current_primary(now) == nullptr && member.status &&
            has_passed_on_commits(member, now) &&
            std::none_of(
                members_.begin(), members_.end(),
-               [this, now](const auto& entry)
+               [this, &member, now](const auto& entry)
                {
                    const auto& other = entry.second;
                    return is_fresh(other, now) && !has_shut_down(other) &&
                           !other.definition.leaving &&
-                          has_passed_on_commits(other, now);
+                          other.status->received >= member.status->received;
                });
 }
 
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -197,7 +197,8 @@
     const auto rank = [this, primary_responds, now](const member_state& member)
     {
         return std::tuple(
-            has_passed_on_commits(member, now), !member.definition.leaving,
+            has_passed_on_commits(member, now),
+            !member.definition.leaving || may_lead_while_leaving(member, now),
             member.definition.instance != primary_,
             !primary_responds || !is_paused(member), member.status->received,
             !is_paused(member));
--- a/tests/unit/unit-failover_membership.cpp
+++ b/tests/unit/unit-failover_membership.cpp
@@ -326,3 +326,21 @@
     model.run(3s);
     EXPECT_EQ(model.primary_name(), "b");
 }
+
+// Guards against a service without a primary until a leaving replica has
+// exited, if that replica is ahead of the others.
+TEST_F(failover_acknowledgements, leaving_replica_that_is_ahead_may_lead)
+{
+    model.not_replicating_ = {"b"};
+    model.leaving_ = {"c"};
+    model.commit();
+    model.remove_host("h1");
+    model.add_host("h1");
+    model.update_planner();
+    model.members_["a"].running = false;
+    model.unregistered_ = {"a"};
+    model.transfer_duty();
+    model.run(12s);
+    EXPECT_EQ(model.primary_name(), "c");
+    EXPECT_FALSE(model.commit_lost_);
+}
