Resume a replica whose pause arrived after the promotion

A replica receives nothing for good: the pause of a failover reached it after the promotion, with the term of the new primary, and the planner took a replica for paused only above that term. Change: the replica's own term counts too.

The new test fails before the change.

--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -324,9 +324,11 @@
     return retired;
 }
 
+// A pause that arrived after the promotion is not released by it.
 bool failover_planner::is_paused(const member_state& member) const
 {
-    return member.status && member.status->paused_term > primary_term_;
+    return member.status && member.status->paused_term >
+                                std::min(primary_term_, member.status->term);
 }
 
 bool failover_planner::is_urgent() const
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -677,7 +677,7 @@
     for (auto& [instance, member] : members_)
     {
         if (instance == primary_ || !is_fresh(member, now) ||
-            member.status->paused_term <= primary_term_)
+            !is_paused(member))
         {
             continue;
         }
--- a/tests/unit/unit-failover_membership.cpp
+++ b/tests/unit/unit-failover_membership.cpp
@@ -344,3 +344,18 @@
     EXPECT_EQ(model.primary_name(), "c");
     EXPECT_FALSE(model.commit_lost_);
 }
+
+// Guards against a replica that receives nothing for good, because a pause of
+// the failover reached it after the promotion.
+TEST_F(failover_acknowledgements, replica_that_was_paused_late_is_resumed)
+{
+    model.crash("a");
+    model.run(2s);
+    const auto primary = model.primary_name();
+    ASSERT_NE(primary, "a");
+    auto& late = model.members_[primary == "b" ? "c" : "b"];
+    late.term = 1;
+    late.paused_term = model.members_[primary].term;
+    model.run(2s);
+    EXPECT_EQ(late.paused_term, 0U);
+}
