Pause in a term above the newest one that is known

A failover that began before a replica in a later term had answered never paused it, because a member refuses a pause whose term it knows, and the order waited without end. Change: the term of the pauses rises with the newest known term. The random test that asks for a primary and for commits within 12 s after the last disturbance comes with this commit.

The new test fails before the change.

--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -356,6 +356,8 @@
 void failover_planner::pause_other_replicas(
     std::vector<failover_step>& steps, time_point now)
 {
+    // A member refuses a pause in a term that it knows.
+    pause_term_ = std::max(pause_term_, newest_term() + 1);
     const auto term = pause_term_;
     const std::string_view exempt =
         must_pause_candidate(now) ? std::string_view{} : candidate_;
--- a/tests/unit/unit-failover_membership.cpp
+++ b/tests/unit/unit-failover_membership.cpp
@@ -21,6 +21,22 @@
         }));
 }
 
+// Guards against a service without a primary for good: once nothing is
+// disturbed any more, a member leads and commits within the recovery time.
+TEST(failover_membership, service_recovers_when_the_disturbances_end)
+{
+    EXPECT_TRUE(rc::check(
+        [](std::uint64_t seed)
+        {
+            changing_group_model::group model(seed, {});
+            model.run(25s);
+            model.end_all_disturbances();
+            model.run(12s);
+            RC_ASSERT(model.run_and_is_served(5s));
+            RC_ASSERT(model.outcome().lost == "");
+        }));
+}
+
 namespace
 {
 
@@ -359,3 +375,19 @@
     model.run(2s);
     EXPECT_EQ(late.paused_term, 0U);
 }
+
+// Guards against a promotion that waits for good for a pause, because a replica
+// knows a later term than the holder knew at the start.
+TEST_F(failover_acknowledgements, replica_in_a_later_term_is_paused)
+{
+    model.remove_host("h1");
+    model.add_host("h1");
+    model.members_["c"].unreachable = true;
+    model.crash("a");
+    model.run(2s);
+    EXPECT_EQ(model.orders_, 0U);
+    model.members_["c"].term = 2;
+    model.members_["c"].unreachable = false;
+    model.run(2s);
+    EXPECT_GT(model.orders_, 0U);
+}
