--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -324,8 +324,8 @@
     /// hosts which have not promised learn of it from the record.
     duration record_delay(time_point now) const;
 
-    /// @brief Member whose promotion was ordered and may still take effect;
-    /// empty if there is none.
+    /// @brief Member whose promotion was ordered and may still take effect, or
+    /// may have taken effect unseen; empty if there is none.
     std::string_view pending_order(time_point now) const;
 
     /// @brief True while changes of the members must be learned without delay.
@@ -411,6 +411,8 @@
     const member_state* current_primary(time_point now) const;
     void update_ended_members(time_point now);
     log_position last_position_before_end(const member_state& ended) const;
+    /// True if a member has led since the end of this one, in a later term.
+    bool ended_in_earlier_term(const member_state& member) const;
     /// True if the candidate has every commit that only members which have
     /// exited may have had.
     bool covers_ended_members(const member_state& candidate) const;
@@ -520,8 +522,8 @@
     bool awaits_order(time_point now) const;
     /// True while an order of another member may still take effect.
     bool awaits_other_order(std::string_view instance, time_point now) const;
-    /// True if an order may have taken effect for another member than the last
-    /// known primary, although its time limit has passed.
+    /// True if an order for another member than the last known primary may
+    /// still take effect, or may have taken effect unseen.
     bool order_may_have_taken_effect(time_point now) const;
     /// True for a member that leads by an order which may be carried out again.
     /// That changes nothing until the member steps down.
--- a/src/lib/failover_acknowledgements.cpp
+++ b/src/lib/failover_acknowledgements.cpp
@@ -155,9 +155,8 @@
         [this](const auto& entry)
         {
             const auto& member = entry.second;
-            const bool later_term =
-                !primary_from_record_ && primary_term_ > member.ended_in_term;
-            return entry.first == primary_ || !member.ended_at || later_term ||
+            return entry.first == primary_ || !member.ended_at ||
+                   ended_in_earlier_term(member) ||
                    member.needed_position_is_final;
         });
     return !behind_primary && knows_last_commits;
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -191,26 +191,6 @@
     }
 }
 
-bool failover_planner::primary_has_stepped_down(time_point now) const
-{
-    const auto found = members_.find(primary_);
-    const bool confirmed = found != members_.end() &&
-                           is_fresh(found->second, now) &&
-                           !found->second.status->primary;
-    const bool relayed = relayed_instance_ == primary_ &&
-                         relayed_at_ >= failover_started_at_ &&
-                         !relayed_status_.primary;
-    return confirmed || relayed;
-}
-
-bool failover_planner::primary_leads_elsewhere(time_point now) const
-{
-    return current_primary(now) == nullptr && !primary_has_stepped_down(now) &&
-           !primary_.empty() && relayed_instance_ == primary_ &&
-           relayed_status_.primary &&
-           now - relayed_at_ <= settings_.status_validity;
-}
-
 bool failover_planner::is_fresh(
     const member_state& member, time_point now) const
 {
@@ -284,6 +264,12 @@
     return last;
 }
 
+bool failover_planner::ended_in_earlier_term(const member_state& member) const
+{
+    return member.ended_at && !primary_from_record_ &&
+           primary_term_ > member.ended_in_term;
+}
+
 bool failover_planner::covers_ended_members(const member_state& candidate) const
 {
     return std::all_of(
@@ -291,9 +277,8 @@
         [this, &candidate](const auto& entry)
         {
             const auto& member = entry.second;
-            const bool later_term =
-                !primary_from_record_ && primary_term_ > member.ended_in_term;
-            return entry.first == primary_ || !member.ended_at || later_term ||
+            return entry.first == primary_ || !member.ended_at ||
+                   ended_in_earlier_term(member) ||
                    candidate.status->received >= *member.needed_position;
         });
 }
@@ -311,12 +296,10 @@
     std::vector<std::string> retired;
     for (const auto& [instance, member] : members_)
     {
-        const bool later_term = member.ended_at && !primary_from_record_ &&
-                                primary_term_ > member.ended_in_term;
         const bool covered = member.needed_position_is_final &&
                              farthest >= *member.needed_position;
         if (instance != primary_ && !member.may_return &&
-            (later_term || covered))
+            (ended_in_earlier_term(member) || covered))
         {
             retired.push_back(instance);
         }
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -1,7 +1,6 @@
 #include <zinniahub/failover_planner.hpp>
 
 #include <algorithm>
-#include <tuple>
 
 namespace zinniahub
 {
@@ -187,165 +186,6 @@
            !is_paused(*candidate) && covers_ended_members(*candidate);
 }
 
-// Members that have every commit which clients have seen acknowledged come
-// first. Replicas that receive come before paused ones while the primary
-// responds, and a former primary comes last.
-const failover_planner::member_state*
-failover_planner::choose_candidate(time_point now) const
-{
-    const bool primary_responds = current_primary(now) != nullptr;
-    const auto rank = [this, primary_responds, now](const member_state& member)
-    {
-        return std::tuple(
-            has_passed_on_commits(member, now),
-            !member.definition.leaving || may_lead_while_leaving(member, now),
-            member.definition.instance != primary_,
-            !primary_responds || !is_paused(member), member.status->received,
-            !is_paused(member));
-    };
-    const member_state* best = nullptr;
-    for (const auto& [instance, member] : members_)
-    {
-        if (!is_fresh(member, now) || has_shut_down(member) ||
-            member.status->primary ||
-            (member.definition.leaving && !may_lead_while_leaving(member, now)))
-        {
-            continue;
-        }
-        if (best == nullptr || rank(member) > rank(*best))
-        {
-            best = &member;
-        }
-    }
-    return best;
-}
-
-const failover_planner::member_state*
-failover_planner::find_candidate(time_point now) const
-{
-    const auto found = members_.find(candidate_);
-    return found != members_.end() && is_fresh(found->second, now)
-               ? &found->second
-               : nullptr;
-}
-
-// One lost reply does not make a candidate unfit.
-bool failover_planner::candidate_is_unfit(time_point now) const
-{
-    const auto found = members_.find(candidate_);
-    if (found == members_.end())
-    {
-        return true;
-    }
-    const auto& member = found->second;
-    const bool silent =
-        member.unresponsive_since &&
-        now - *member.unresponsive_since >= settings_.unresponsive_limit;
-    return silent || member.refused_since ||
-           (member.definition.leaving && !may_lead_while_leaving(member, now) &&
-            !may_be_reinstated(member, now)) ||
-           has_shut_down(member) || (member.status && member.status->primary);
-}
-
-bool failover_planner::a_paused_replica_is_ahead(
-    const member_state& candidate) const
-{
-    return std::any_of(
-        members_.begin(), members_.end(),
-        [this, &candidate](const auto& entry)
-        {
-            const auto& member = entry.second;
-            return is_other_replica(member, candidate.definition.instance) &&
-                   is_paused(member) &&
-                   member.status->received > candidate.status->received;
-        });
-}
-
-// It has the commits of earlier terms since its promotion, and acknowledged
-// those of its own term itself.
-bool failover_planner::may_be_reinstated(
-    const member_state& member, time_point now) const
-{
-    const bool has_led =
-        member.definition.instance == primary_ && !primary_from_record_;
-    if (!has_led || !is_fresh(member, now) || member.status->primary ||
-        order_may_have_taken_effect(now))
-    {
-        return false;
-    }
-    const auto received = member.status->received;
-    const bool has_kept_its_log = primary_positions_.empty() ||
-                                  received >= primary_positions_.back().second;
-    const bool is_farthest = std::all_of(
-        members_.begin(), members_.end(),
-        [received](const auto& entry)
-        {
-            const auto& other = entry.second;
-            return !other.status || other.status->received <= received;
-        });
-    return has_kept_its_log && is_farthest &&
-           received >= survey_.acknowledged();
-}
-
-void failover_planner::update_former_primary(time_point now)
-{
-    const auto former = members_.find(primary_);
-    if (former == members_.end() || !may_be_reinstated(former->second, now))
-    {
-        reinstatable_since_.reset();
-        return;
-    }
-    reinstatable_since_ = reinstatable_since_.value_or(now);
-}
-
-bool failover_planner::must_reinstate_primary(time_point now) const
-{
-    return reinstatable_since_ && candidate_ != primary_ &&
-           now - *reinstatable_since_ >= settings_.reinstatement_delay &&
-           !promotion_pending_ && !is_order_justified(candidate_, now);
-}
-
-const failover_planner::member_state*
-failover_planner::update_candidate(bool primary_responds, time_point now)
-{
-    const auto* candidate = find_candidate(now);
-    const bool behind =
-        candidate != nullptr && (a_paused_replica_is_ahead(*candidate) ||
-                                 lacks_passed_on_commits(*candidate, now));
-    if (!behind)
-    {
-        candidate_behind_since_.reset();
-    }
-    else if (!candidate_behind_since_)
-    {
-        candidate_behind_since_ = now;
-    }
-    if (awaits_order(now))
-    {
-        candidate_ = ordered_;
-        return find_candidate(now);
-    }
-    const bool stays_behind =
-        behind && !primary_responds &&
-        now - *candidate_behind_since_ >= settings_.behind_limit;
-    const bool reinstate = must_reinstate_primary(now);
-    if (!stays_behind && !reinstate && !candidate_is_unfit(now))
-    {
-        return candidate;
-    }
-    candidate =
-        reinstate ? &members_.find(primary_)->second : choose_candidate(now);
-    if (candidate != nullptr && primary_responds && is_paused(*candidate))
-    {
-        candidate = nullptr;
-    }
-    candidate_ =
-        candidate == nullptr ? std::string{} : candidate->definition.instance;
-    candidate_behind_since_.reset();
-    candidate_deaf_since_.reset();
-    return candidate;
-}
-
 bool failover_planner::is_other_replica(
     const member_state& member, std::string_view candidate) const
 {
@@ -411,76 +251,6 @@
            other_replicas_are_paused(now);
 }
 
-// The primary's position is that of an earlier status, because entries take
-// some time to reach the candidate.
-void failover_planner::update_deaf_candidate(
-    const member_state& primary, const member_state* candidate, time_point now)
-{
-    const bool lags = candidate != nullptr &&
-                      candidate->status->received < primary.earlier_received;
-    if (!lags)
-    {
-        candidate_deaf_since_.reset();
-    }
-    else if (!candidate_deaf_since_)
-    {
-        candidate_deaf_since_ = now;
-    }
-}
-
-bool failover_planner::candidate_is_deaf(time_point now) const
-{
-    return candidate_deaf_since_ &&
-           now - *candidate_deaf_since_ >= settings_.behind_limit;
-}
-
-bool failover_planner::must_step_down_before_order(time_point now) const
-{
-    const bool leads_on = !settings_.tokens_checked && !candidate_deaf_since_ &&
-                          now - failover_started_at_ >= settings_.order_delay;
-    return order_unknown_ || leads_on || candidate_is_deaf(now);
-}
-
-// A replica that does not answer may have restarted, which ends its pause.
-// While the others are paused the primary commits nothing without the
-// candidate. It goes on leading if the candidate does not answer, because
-// nobody else could lead if that member is lost.
-bool failover_planner::must_step_down_after_order(
-    const member_state* candidate, time_point now) const
-{
-    const bool all_paused = std::all_of(
-        members_.begin(), members_.end(),
-        [this, now](const auto& entry)
-        {
-            const auto& member = entry.second;
-            return !is_other_replica(member, candidate_) ||
-                   (is_fresh(member, now) && is_paused(member));
-        });
-    const bool receives_nothing =
-        candidate != nullptr && (order_unknown_ || candidate_is_deaf(now));
-    return !settings_.tokens_checked || !all_paused || receives_nothing;
-}
-
-bool failover_planner::order_may_follow(
-    const member_state& candidate, time_point now) const
-{
-    if (!candidate_is_deaf(now))
-    {
-        return true;
-    }
-    return survey_.has_hosts() ? has_all_acknowledged(candidate, now)
-                               : covers_ended_members(candidate);
-}
-
-bool failover_planner::failover_is_stuck(
-    const member_state& candidate, time_point now) const
-{
-    return candidate_is_deaf(now) &&
-           now - *candidate_deaf_since_ >= settings_.stall_limit &&
-           !promotion_pending_ && !awaits_order(now) &&
-           !order_may_follow(candidate, now);
-}
-
 bool failover_planner::is_order_justified(
     std::string_view instance, time_point now) const
 {
@@ -533,27 +303,6 @@
     candidate_.clear();
 }
 
-void failover_planner::request_step_down(
-    std::vector<failover_step>& steps, bool through_hosts, time_point now)
-{
-    if (now >= next_step_down_ && !may_be_promoted_again(primary_, now))
-    {
-        next_step_down_ = now + settings_.urgent_interval;
-        steps.emplace_back(
-            failover_action::step_down{primary_, pause_term_, through_hosts});
-    }
-}
-
-bool failover_planner::awaits_step_down(time_point now)
-{
-    if (!primary_leads_elsewhere(now) || sync_replicas_ == 0)
-    {
-        return false;
-    }
-    step_down_awaited_since_ = step_down_awaited_since_.value_or(now);
-    return now - *step_down_awaited_since_ < settings_.step_down_limit;
-}
-
 void failover_planner::on_new_primary(time_point now)
 {
     if (awaits_order(now) && ordered_ != primary_)
