Keep orders that may have taken effect unseen until it is known

A commit could be lost by the promotion of a former primary: an order of an earlier holder had taken effect unseen, its member was then lost, and the replica that had its commits was down.

Cause: the order counted as settled once its member was gone, and the next holder found none in the record. Change: each such order is kept until a primary or its member has answered after its time limit, or, if the member is gone, until all others have answered without entries of a later term. The record names it while no primary answers. A former primary that has entries of a later term has followed another one and is forgotten as such.

Also: the 10 s for which an order waits for commits that only the old primary may have count from its last answer, not from the begin of the failover, which itself may have waited for 10 s. The test of a lost replica runs with hosts now, because the model gives them to a new holder.

Both changed tests fail on the code before.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -431,6 +431,9 @@
     /// and that the candidate lacks.
     bool lacks_passed_on_commits(
         const member_state& candidate, time_point now) const;
+    /// Time since which an order may have to wait for commits that only the
+    /// last known primary has.
+    time_point commits_missing_since() const;
     /// True if no other member that is not gone may have a commit which the
     /// candidate lacks.
     bool
@@ -522,17 +525,22 @@
     bool awaits_order(time_point now) const;
     /// True while an order of another member may still take effect.
     bool awaits_other_order(std::string_view instance, time_point now) const;
-    /// True if an order for another member than the last known primary may
-    /// still take effect, or may have taken effect unseen.
-    bool order_may_have_taken_effect(time_point now) const;
+    /// True if the member answered as a replica after a point in time, without
+    /// entries of a later term than that of the last known primary.
+    bool has_no_later_entries(
+        const member_state& member, time_point limit, time_point now) const;
+    /// True if it is known whether an order has taken effect.
+    /// @param limit time after which the order does not take effect any more
+    bool order_has_settled(
+        std::string_view instance, time_point limit, time_point now) const;
+    void update_unsettled_orders(time_point now);
     /// True for a member that leads by an order which may be carried out again.
     /// That changes nothing until the member steps down.
     bool may_be_promoted_again(std::string_view instance, time_point now) const;
     /// The member of the order leads.
     void on_order_executed();
     void clear_order();
-    /// Forgets an order that can no longer take effect unseen.
-    void clear_settled_order(time_point now);
+    void clear_order_of_exited_member();
     void complete_recorded_order(time_point now);
     void demote_replaced_primaries(
         std::vector<failover_step>& steps, time_point now);
@@ -615,6 +623,9 @@
     /// Members that lead by an order without a reply, and the time until which
     /// a repetition of it may be carried out.
     std::map<std::string, time_point, std::less<>> repeatable_orders_;
+    /// Members whose orders may have taken effect unseen, and the times after
+    /// which these do not take effect any more.
+    std::map<std::string, time_point, std::less<>> unsettled_orders_;
     /// True if `ordered_` is known only from the record.
     bool order_from_record_ = false;
     /// Time since which all replicas are paused, including the candidate.
--- a/src/lib/failover_acknowledgements.cpp
+++ b/src/lib/failover_acknowledgements.cpp
@@ -162,6 +162,17 @@
     return !behind_primary && knows_last_commits;
 }
 
+time_point failover_planner::commits_missing_since() const
+{
+    const auto primary = members_.find(primary_);
+    const bool silent =
+        primary != members_.end() && primary->second.unresponsive_since;
+    return silent
+               ? std::min(
+                     failover_started_at_, *primary->second.unresponsive_since)
+               : failover_started_at_;
+}
+
 bool failover_planner::has_remaining_commits(
     const member_state& candidate, time_point now) const
 {
@@ -200,7 +211,7 @@
     {
         return true;
     }
-    if (now - failover_started_at_ < settings_.missing_commits_limit)
+    if (now - commits_missing_since() < settings_.missing_commits_limit)
     {
         return covers_ended_members(candidate) &&
                covers_unknown_commits(candidate);
--- a/src/lib/failover_candidate.cpp
+++ b/src/lib/failover_candidate.cpp
@@ -90,7 +90,7 @@
     const bool has_led =
         member.definition.instance == primary_ && !primary_from_record_;
     if (!has_led || !is_fresh(member, now) || member.status->primary ||
-        order_may_have_taken_effect(now))
+        awaits_other_order(primary_, now) || !unsettled_orders_.empty())
     {
         return false;
     }
--- a/src/lib/failover_members.cpp
+++ b/src/lib/failover_members.cpp
@@ -84,6 +84,7 @@
     promotion_pending_ = false;
     clear_order();
     repeatable_orders_.clear();
+    unsettled_orders_.clear();
     primary_positions_.clear();
     all_paused_since_.reset();
     relayed_instance_.clear();
@@ -137,12 +138,16 @@
     member.status_at = now;
     member.unresponsive_since.reset();
     member.refused_since.reset();
-    if (primary_from_record_ && instance == primary_)
+    if (instance == primary_)
     {
-        // With entries of the recorded term, it led that term and has kept its
-        // log.
-        const bool led_recorded_term = status.received.term == primary_term_;
-        primary_ = led_recorded_term ? found->first : std::string();
+        // A recorded primary with entries of its term led it, and has kept its
+        // log. With entries of a later term it has followed another primary.
+        const auto last_term = status.received.term;
+        if (last_term > primary_term_ ||
+            (primary_from_record_ && last_term < primary_term_))
+        {
+            primary_.clear();
+        }
         primary_from_record_ = false;
     }
     if (status.primary && status.term >= primary_term_)
--- a/src/lib/failover_orders.cpp
+++ b/src/lib/failover_orders.cpp
@@ -1,5 +1,7 @@
 #include <zinniahub/failover_planner.hpp>
 
+#include <algorithm>
+
 // Orders of the failover planner that may still take effect.
 
 namespace zinniahub
@@ -9,6 +11,7 @@
     std::string_view instance, time_point now)
 {
     ordered_ = instance;
+    unsettled_orders_[ordered_] = now + settings_.arrival_limit;
     order_pending_until_ = now + settings_.late_order_limit;
     order_from_record_ = true;
     order_arrives_until_ = now + settings_.arrival_limit;
@@ -38,36 +41,57 @@
     return order_is_pending(now) && ordered_ != instance;
 }
 
-bool failover_planner::order_may_have_taken_effect(time_point now) const
+bool failover_planner::has_no_later_entries(
+    const member_state& member, time_point limit, time_point now) const
 {
-    if (ordered_.empty() || ordered_ == primary_)
-    {
-        return false;
-    }
-    if (order_is_pending(now))
+    return is_fresh(member, now) && member.queried_at > limit &&
+           !member.status->primary &&
+           member.status->received.term <= primary_term_;
+}
+
+// If the member of the order is gone, another one may have received its
+// commits.
+bool failover_planner::order_has_settled(
+    std::string_view instance, time_point limit, time_point now) const
+{
+    const auto* primary = current_primary(now);
+    const bool primary_answers =
+        primary != nullptr && primary->queried_at > limit;
+    if (instance == primary_ || primary_answers)
     {
         return true;
     }
-    const auto* primary = current_primary(now);
-    const auto found = members_.find(ordered_);
-    const bool primary_goes_on =
-        primary != nullptr && primary->queried_at > order_pending_until_;
-    if (order_pending_until_ == time_point::min() || primary_goes_on ||
-        found == members_.end() || is_gone(found->second))
+    const auto found = members_.find(instance);
+    if (found != members_.end() && !is_gone(found->second))
     {
-        return false;
+        return has_no_later_entries(found->second, limit, now);
     }
-    const auto& member = found->second;
-    return !is_fresh(member, now) || member.status->primary ||
-           member.queried_at <= order_pending_until_;
+    return std::all_of(
+        members_.begin(), members_.end(),
+        [this, limit, now](const auto& entry)
+        {
+            return entry.first == primary_ || is_gone(entry.second) ||
+                   has_no_later_entries(entry.second, limit, now);
+        });
+}
+
+void failover_planner::update_unsettled_orders(time_point now)
+{
+    std::erase_if(
+        unsettled_orders_, [this, now](const auto& entry)
+        { return order_has_settled(entry.first, entry.second, now); });
 }
 
 std::string_view failover_planner::pending_order(time_point now) const
 {
-    if (order_may_have_taken_effect(now) || order_is_pending(now))
+    if (order_is_pending(now))
     {
         return ordered_;
     }
+    if (!unsettled_orders_.empty() && current_primary(now) == nullptr)
+    {
+        return unsettled_orders_.begin()->first;
+    }
     return may_be_promoted_again(primary_, now) ? std::string_view{primary_}
                                                 : std::string_view{};
 }
@@ -108,14 +132,11 @@
     return found != repeatable_orders_.end() && now < found->second;
 }
 
-void failover_planner::clear_settled_order(time_point now)
+void failover_planner::clear_order_of_exited_member()
 {
     const auto found = members_.find(ordered_);
-    const bool has_exited = found != members_.end() &&
-                            has_shut_down(found->second) && !promotion_pending_;
-    const bool has_settled =
-        !order_is_pending(now) && !order_may_have_taken_effect(now);
-    if (has_exited || has_settled)
+    if (found != members_.end() && has_shut_down(found->second) &&
+        !promotion_pending_)
     {
         clear_order();
     }
@@ -132,7 +153,7 @@
     }
     if (!order_is_pending(now))
     {
-        order_from_record_ = false;
+        clear_order();
         return;
     }
     if (!all_have_answered() || (primary == nullptr && !primary_is_lost(now)))
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -48,6 +48,9 @@
     {
         order_arrives_until_ = now + settings_.arrival_limit;
     }
+    auto& unsettled = unsettled_orders_[ordered_];
+    unsettled = std::max(
+        unsettled, unknown ? order_arrives_until_ : order_pending_until_);
 }
 
 void failover_planner::query_members(
@@ -452,7 +455,8 @@
     query_members(steps, now);
     update_ended_members(now);
     update_incomplete_group(now);
-    clear_settled_order(now);
+    clear_order_of_exited_member();
+    update_unsettled_orders(now);
     if (!settings_.tokens_checked)
     {
         demote_replaced_primaries(steps, now);
--- a/tests/unit/service_model.hpp
+++ b/tests/unit/service_model.hpp
@@ -110,6 +110,7 @@
             }
         }
         update_planner();
+        update_hosts();
     }
 
     /// Commits at the primary; acknowledged if a replica receives the commit.
--- a/tests/unit/unit-failover_membership.cpp
+++ b/tests/unit/unit-failover_membership.cpp
@@ -391,3 +391,57 @@
     model.run(2s);
     EXPECT_GT(model.orders_, 0U);
 }
+
+// Guards against the loss of commits of a member whose order got no reply, and
+// which led unseen: it is lost, and the replica that has them is down.
+TEST_F(failover_acknowledgements, former_primary_waits_for_unseen_commits)
+{
+    model.members_["a"].unreachable = true;
+    while (model.late_orders_.empty())
+    {
+        model.tick(50ms, true);
+        ASSERT_LT(model.now_, service_model::start + 10s);
+    }
+    const auto lost = model.late_orders_.front().instance;
+    const std::string down = lost == "b" ? "c" : "b";
+    EXPECT_TRUE(model.execute(model.late_orders_.front()));
+    model.not_replicating_ = {"a"};
+    model.commit();
+    model.members_["a"].unreachable = false;
+    model.members_[lost].running = false;
+    model.unregistered_ = {lost};
+    model.members_[down].running = false;
+    for (int holder = 0; holder < 3; ++holder)
+    {
+        model.transfer_duty();
+        model.run(15s);
+        model.recorded_order_ = model.planner_.pending_order(model.now_);
+    }
+    EXPECT_EQ(model.orders_, 1U);
+    model.members_[down].running = true;
+    model.run(15s);
+    EXPECT_EQ(model.primary_name(), down);
+    EXPECT_FALSE(model.commit_lost_);
+}
+
+// Guards against a service without a primary for good: the recorded primary has
+// followed another one, and has more than the other replicas.
+TEST_F(failover_acknowledgements, recorded_primary_that_followed_may_lead)
+{
+    model.commit();
+    model.transfer_duty();
+    model.members_["a"].primary = false;
+    model.run(100ms);
+    for (const auto* const name : {"a", "c"})
+    {
+        model.members_[name].term = 2;
+        model.members_[name].received = {2, 4};
+    }
+    model.members_["a"].received = {2, 5};
+    model.members_["b"].running = false;
+    model.leaving_ = {"b"};
+    model.shutting_down_ = {"b"};
+    model.update_planner();
+    model.run(failover_planner::settings{}.missing_commits_limit + 2s);
+    EXPECT_EQ(model.primary_name(), "a");
+}
