Split the step of a failover: what a primary that answers requires

continue_failover decided step-downs, stuck failovers and orders in one function of 95 lines. What concerns a primary that answers is now delay_for_primary, beside the other rules of step-downs.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -516,6 +516,12 @@
     /// True if the candidate has to pause too, because the primary cannot be
     /// asked to step down.
     bool must_pause_candidate(time_point now) const;
+    /// Tells a primary that answers to step down if it must, or gives a
+    /// failover up that is stuck.
+    /// @return true if no order may be sent now
+    bool delay_for_primary(
+        std::vector<failover_step>& steps, const member_state& primary,
+        const member_state* candidate, time_point now);
     void update_all_paused(const member_state* candidate, time_point now);
     /// True if no host takes the previous primary for the primary any more.
     bool primary_proof_has_expired(time_point now) const;
--- a/src/lib/failover_planner.cpp
+++ b/src/lib/failover_planner.cpp
@@ -367,14 +367,10 @@
         pause_other_replicas(steps, now);
     }
     update_all_paused(candidate, now);
-    if (pause && primary != nullptr)
+    if (pause && primary != nullptr &&
+        delay_for_primary(steps, *primary, candidate, now))
     {
-        update_deaf_candidate(*primary, candidate, now);
-        if (awaits_order(now) && must_step_down_after_order(candidate, now))
-        {
-            request_step_down(steps, false, now);
-            return;
-        }
+        return;
     }
     if (pause && awaits_order(now) && primary_leads_elsewhere(now))
     {
@@ -384,22 +380,6 @@
     {
         return;
     }
-    // Nothing else may delay the promotion of a service without a primary.
-    const bool step_down = pause && primary != nullptr &&
-                           must_step_down_before_order(now) &&
-                           !awaits_other_order(candidate_, now) &&
-                           statuses_justify_order(*candidate, now) &&
-                           order_may_follow(*candidate, now);
-    if (step_down)
-    {
-        request_step_down(steps, false, now);
-        return;
-    }
-    if (pause && primary != nullptr && failover_is_stuck(*candidate, now))
-    {
-        start_restoring();
-        return;
-    }
     const bool early = primary != nullptr && sync_replicas_ > 0 &&
                        now - failover_started_at_ < settings_.order_delay;
     if (promotion_pending_ || early || now < next_promotion_ ||
--- a/src/lib/failover_step_down.cpp
+++ b/src/lib/failover_step_down.cpp
@@ -77,6 +77,32 @@
            !order_may_follow(candidate, now);
 }
 
+// Nothing else may delay the promotion of a service without a primary.
+bool failover_planner::delay_for_primary(
+    std::vector<failover_step>& steps, const member_state& primary,
+    const member_state* candidate, time_point now)
+{
+    update_deaf_candidate(primary, candidate, now);
+    const bool after_order =
+        awaits_order(now) && must_step_down_after_order(candidate, now);
+    const bool before_order = candidate != nullptr &&
+                              must_step_down_before_order(now) &&
+                              !awaits_other_order(candidate_, now) &&
+                              statuses_justify_order(*candidate, now) &&
+                              order_may_follow(*candidate, now);
+    if (after_order || before_order)
+    {
+        request_step_down(steps, false, now);
+        return true;
+    }
+    if (candidate != nullptr && failover_is_stuck(*candidate, now))
+    {
+        start_restoring();
+        return true;
+    }
+    return false;
+}
+
 void failover_planner::request_step_down(
     std::vector<failover_step>& steps, bool through_hosts, time_point now)
 {
