Wait for a former primary that has answered lately

What callers would see: acknowledged writes lost after a change of primary, if the former primary may not lead yet and crashes in the tenth second of a failover.

Cause: the 10 s after which an order goes out although a commit may be missing counted from the start of the failover, also if the old primary had answered since. Since a new holder takes the recorded primary for the former one, that member is not waited for as a replica any more.

Measured: the new test fails before the change (commit lost) and passes with it.

--- a/include/zinniahub/failover_planner.hpp
+++ b/include/zinniahub/failover_planner.hpp
@@ -434,6 +434,10 @@
     /// Time since which an order may have to wait for commits that only the
     /// last known primary has.
     time_point commits_missing_since() const;
+    /// True if the old primary does not lead any more, has answered lately, and
+    /// has commits which the candidate lacks.
+    bool former_primary_is_ahead(
+        const member_state& candidate, time_point now) const;
     /// True if no other member that is not gone may have a commit which the
     /// candidate lacks.
     bool
--- a/src/lib/failover_acknowledgements.cpp
+++ b/src/lib/failover_acknowledgements.cpp
@@ -173,6 +173,16 @@
                : failover_started_at_;
 }
 
+bool failover_planner::former_primary_is_ahead(
+    const member_state& candidate, time_point now) const
+{
+    const auto primary = members_.find(primary_);
+    return current_primary(now) == nullptr && may_wait_for_commits(now) &&
+           primary != members_.end() && primary->second.status &&
+           !has_shut_down(primary->second) &&
+           primary->second.status->received > candidate.status->received;
+}
+
 bool failover_planner::has_remaining_commits(
     const member_state& candidate, time_point now) const
 {
@@ -216,8 +226,9 @@
         return covers_ended_members(candidate) &&
                covers_unknown_commits(candidate);
     }
-    return covers_ended_members(candidate) ||
-           has_remaining_commits(candidate, now);
+    return !former_primary_is_ahead(candidate, now) &&
+           (covers_ended_members(candidate) ||
+            has_remaining_commits(candidate, now));
 }
 
 } // namespace zinniahub
--- a/tests/unit/unit-failover_membership.cpp
+++ b/tests/unit/unit-failover_membership.cpp
@@ -424,6 +424,33 @@
     EXPECT_FALSE(model.commit_lost_);
 }
 
+// Guards against the loss of commits of a former primary that may not lead yet,
+// because an order for an exited member is awaited, and that then crashes.
+TEST_F(
+    failover_acknowledgements, order_waits_after_the_last_answer_of_a_primary)
+{
+    lose_candidate_after_step_down(model);
+    model.leaving_ = {"b"};
+    model.shutting_down_ = {"b"};
+    model.update_planner();
+    model.recorded_order_ = "b";
+    model.remove_host("h1");
+    model.add_host("h1");
+    model.members_["a"].running = false;
+    model.transfer_duty();
+    model.run(1s);
+    model.members_["a"].running = true;
+    const auto limit = failover_planner::settings{}.missing_commits_limit;
+    model.run(limit - 2s);
+    model.members_["a"].running = false;
+    model.run(limit - 2s);
+    EXPECT_EQ(model.orders_, 0U);
+    model.members_["a"].running = true;
+    model.run(15s);
+    EXPECT_EQ(model.primary_name(), "a");
+    EXPECT_FALSE(model.commit_lost_);
+}
+
 // Guards against a service without a primary for good: the recorded primary has
 // followed another one, and has more than the other replicas.
 TEST_F(failover_acknowledgements, recorded_primary_that_followed_may_lead)
