--- a/tests/unit/service_model.hpp
+++ b/tests/unit/service_model.hpp
@@ -174,6 +174,13 @@
         update_hosts();
     }
 
+    /// A host is killed and comes back without what it had passed on.
+    void restart_host(const std::string& name)
+    {
+        remove_host(name);
+        add_host(name);
+    }
+
     void update_hosts()
     {
         std::vector<std::string> names;
--- a/tests/unit/unit-failover_membership.cpp
+++ b/tests/unit/unit-failover_membership.cpp
@@ -216,8 +216,7 @@
     model.run(1s);
     model.not_replicating_ = {"b", "c"};
     model.commit();
-    model.remove_host("h2");
-    model.add_host("h2");
+    model.restart_host("h2");
     model.run(3s);
     EXPECT_TRUE(model.members_["a"].primary);
     model.members_["b"].running = false;
@@ -266,8 +265,7 @@
 {
     lose_candidate_after_step_down(model);
     model.transfer_duty();
-    model.remove_host("h1");
-    model.add_host("h1");
+    model.restart_host("h1");
     model.run(3s);
     EXPECT_EQ(model.primary_name(), "a");
     EXPECT_FALSE(model.commit_lost_);
@@ -307,21 +305,32 @@
     }
 }
 
+namespace
+{
+
+/// Expects an order after the longest wait for missing commits, none before.
+void expect_order_at_limit(
+    service_model::service& model, std::string_view promoted)
+{
+    const failover_planner::settings values;
+    model.run(values.missing_commits_limit - 1s);
+    EXPECT_EQ(model.orders_, 0U);
+    model.run(3s);
+    EXPECT_EQ(model.primary_name(), promoted);
+}
+
+} // namespace
+
 // Guards against a promotion that waits for good for a replica which is lost
 // together with the primary.
 TEST_F(failover_acknowledgements, order_waits_up_to_a_limit_for_a_lost_replica)
 {
-    model.remove_host("h1");
-    model.add_host("h1");
+    model.restart_host("h1");
     model.members_["a"].running = false;
     model.members_["b"].running = false;
     model.unregistered_ = {"a", "b"};
     model.transfer_duty();
-    const failover_planner::settings values;
-    model.run(values.missing_commits_limit - 1s);
-    EXPECT_EQ(model.orders_, 0U);
-    model.run(3s);
-    EXPECT_EQ(model.primary_name(), "c");
+    expect_order_at_limit(model, "c");
 }
 
 // Guards against a promotion that waits for good for positions of members that
@@ -336,11 +345,7 @@
     model.members_["a"].running = false;
     model.members_["c"].running = false;
     model.update_planner();
-    const failover_planner::settings values;
-    model.run(values.missing_commits_limit - 1s);
-    EXPECT_EQ(model.orders_, 0U);
-    model.run(3s);
-    EXPECT_EQ(model.primary_name(), "b");
+    expect_order_at_limit(model, "b");
 }
 
 // Guards against a service without a primary until a leaving replica has
@@ -350,8 +355,7 @@
     model.not_replicating_ = {"b"};
     model.leaving_ = {"c"};
     model.commit();
-    model.remove_host("h1");
-    model.add_host("h1");
+    model.restart_host("h1");
     model.update_planner();
     model.members_["a"].running = false;
     model.unregistered_ = {"a"};
@@ -380,8 +384,7 @@
 // knows a later term than the holder knew at the start.
 TEST_F(failover_acknowledgements, replica_in_a_later_term_is_paused)
 {
-    model.remove_host("h1");
-    model.add_host("h1");
+    model.restart_host("h1");
     model.members_["c"].unreachable = true;
     model.crash("a");
     model.run(2s);
@@ -434,8 +437,7 @@
     model.shutting_down_ = {"b"};
     model.update_planner();
     model.recorded_order_ = "b";
-    model.remove_host("h1");
-    model.add_host("h1");
+    model.restart_host("h1");
     model.members_["a"].running = false;
     model.transfer_duty();
     model.run(1s);
