Tests of the failover: one loop that waits for an order without a reply

Change: service_model::service::run_until_unanswered_order, called by the four. All assertions stay. The longest wait is 3 s in all four; it was 10 s of model time in the two new ones.

--- a/tests/unit/service_model.hpp
+++ b/tests/unit/service_model.hpp
@@ -425,6 +425,17 @@
         answer(action.instance);
     }
 
+    /// Runs until an order gets no reply.
+    /// @return false if none was given in time
+    bool run_until_unanswered_order(duration limit = 3s)
+    {
+        for (const auto end = now_ + limit; late_orders_.empty() && now_ < end;)
+        {
+            tick(50ms, true);
+        }
+        return !late_orders_.empty();
+    }
+
     /// @param lose_order orders get no reply and are executed later
     void tick(duration step, bool lose_order)
     {
--- a/tests/unit/unit-failover_membership.cpp
+++ b/tests/unit/unit-failover_membership.cpp
@@ -281,11 +281,7 @@
         group.add_host();
         group.run(1s);
         group.members_["a"].unreachable = true;
-        while (group.late_orders_.empty())
-        {
-            group.tick(50ms, true);
-            ASSERT_LT(group.now_, service_model::start + 10s);
-        }
+        ASSERT_TRUE(group.run_until_unanswered_order());
         const auto promoted = group.late_orders_.front().instance;
         EXPECT_TRUE(group.execute(group.late_orders_.front()));
         group.members_["a"].unreachable = false;
@@ -400,11 +396,7 @@
 TEST_F(failover_acknowledgements, former_primary_waits_for_unseen_commits)
 {
     model.members_["a"].unreachable = true;
-    while (model.late_orders_.empty())
-    {
-        model.tick(50ms, true);
-        ASSERT_LT(model.now_, service_model::start + 10s);
-    }
+    ASSERT_TRUE(model.run_until_unanswered_order());
     const auto lost = model.late_orders_.front().instance;
     const std::string down = lost == "b" ? "c" : "b";
     EXPECT_TRUE(model.execute(model.late_orders_.front()));
--- a/tests/unit/unit-failover_planner.cpp
+++ b/tests/unit/unit-failover_planner.cpp
@@ -172,10 +172,7 @@
     service_model::service model;
     model.run(1s);
     model.members_["a"].unreachable = true;
-    for (int tick = 0; tick < 60 && model.late_orders_.empty(); ++tick)
-    {
-        model.tick(50ms, true);
-    }
+    ASSERT_TRUE(model.run_until_unanswered_order());
     ASSERT_EQ(model.late_orders_.size(), 1U);
     model.transfer_duty();
     model.run(4s);
@@ -195,10 +192,7 @@
     service_model::service model;
     model.run(1s);
     model.members_["a"].unreachable = true;
-    for (int tick = 0; tick < 60 && model.late_orders_.empty(); ++tick)
-    {
-        model.tick(50ms, true);
-    }
+    ASSERT_TRUE(model.run_until_unanswered_order());
     ASSERT_EQ(model.late_orders_.size(), 1U);
     model.members_["a"].unreachable = false;
     model.transfer_duty();
